--- /dev/null
+++ b/classifier/classifier.go
@@ -0,0 +1,243 @@
+// Package classifier tells from a statement's text whether it reads or writes,
+// how it moves the transaction, and what its caller says about it in hints.
+package classifier
+
+import (
+	"strings"
+	"sync"
+
+	query "github.com/pganalyze/pg_query_go/v6"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Text string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "hint " + e.Op + ": " + e.Text
+}
+
+func invalid(op, text string) error {
+	return &Error{Op: op, Kind: KindInvalid, Text: text}
+}
+
+// Class is what a text does.
+type Class struct {
+	// Write says that it must run on the primary. Text that can't be parsed
+	// counts as a write; the server answers with its error.
+	Write bool
+	// Begin and End say that a statement begins or ends a transaction.
+	Begin bool
+	End   bool
+	// Rollback says that the only effect is to roll back.
+	Rollback bool
+	// Refused names a session feature that pooled connections can't keep.
+	Refused string
+	// Set is the assignment of a single SET, Show the name of a single SHOW.
+	Set  *Assignment
+	Show string
+	// Statements is the number of statements.
+	Statements int
+}
+
+// Assignment is a SET statement.
+type Assignment struct {
+	Name  string
+	Value string
+	Local bool
+}
+
+// memoryLimit is how many texts are remembered.
+const memoryLimit = 10_000
+
+// textLimit is the longest text that is remembered, in bytes.
+const textLimit = 4096
+
+// Classifier remembers results by text. It is safe for concurrent use.
+type Classifier struct {
+	mu     sync.RWMutex
+	memory map[string]Class
+}
+
+// New returns a classifier with an empty memory.
+func New() *Classifier {
+	return &Classifier{memory: map[string]Class{}}
+}
+
+// Classify returns the text without its hints, what it does, and the hints.
+func (c *Classifier) Classify(sql string) (string, Class, Hints, error) {
+	text, hints, err := split(sql)
+	if err != nil {
+		return sql, Class{}, hints, err
+	}
+	c.mu.RLock()
+	class, found := c.memory[text]
+	c.mu.RUnlock()
+	if found {
+		return text, class, hints, nil
+	}
+	class = classify(text)
+	if len(text) <= textLimit {
+		c.remember(text, class)
+	}
+	return text, class, hints, nil
+}
+
+func (c *Classifier) remember(text string, class Class) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.memory) >= memoryLimit {
+		clear(c.memory)
+	}
+	c.memory[text] = class
+}
+
+func classify(text string) Class {
+	tree, err := query.Parse(text)
+	if err != nil {
+		return Class{Write: true, Statements: 1}
+	}
+	class := Class{Statements: len(tree.GetStmts())}
+	for _, statement := range tree.GetStmts() {
+		class.add(statement.GetStmt())
+	}
+	return class
+}
+
+// add takes one statement into account.
+func (c *Class) add(node *query.Node) {
+	switch {
+	case node.GetTransactionStmt() != nil:
+		c.addTransaction(node.GetTransactionStmt())
+	case node.GetSelectStmt() != nil, node.GetExplainStmt() != nil:
+		c.addSelect(node)
+	case node.GetVariableSetStmt() != nil:
+		c.addSet(node.GetVariableSetStmt())
+	case node.GetVariableShowStmt() != nil:
+		c.Show = node.GetVariableShowStmt().GetName()
+	default:
+		c.Write = true
+		c.Refused = refusedFeature(node)
+	}
+}
+
+func (c *Class) addTransaction(t *query.TransactionStmt) {
+	switch t.GetKind() {
+	case query.TransactionStmtKind_TRANS_STMT_BEGIN, query.TransactionStmtKind_TRANS_STMT_START:
+		c.Begin = true
+	case query.TransactionStmtKind_TRANS_STMT_ROLLBACK:
+		c.Rollback = c.Statements == 1
+		c.End = true
+	case query.TransactionStmtKind_TRANS_STMT_COMMIT:
+		c.End = true
+	case query.TransactionStmtKind_TRANS_STMT_PREPARE,
+		query.TransactionStmtKind_TRANS_STMT_COMMIT_PREPARED,
+		query.TransactionStmtKind_TRANS_STMT_ROLLBACK_PREPARED:
+		c.Refused = "two-phase commit"
+	}
+}
+
+func (c *Class) addSet(s *query.VariableSetStmt) {
+	if c.Statements != 1 {
+		c.Refused = "SET among other statements"
+		return
+	}
+	c.Set = &Assignment{Name: s.GetName(), Value: setValue(s), Local: s.GetIsLocal()}
+}
+
+func setValue(s *query.VariableSetStmt) string {
+	var parts []string
+	for _, arg := range s.GetArgs() {
+		constant := arg.GetAConst()
+		switch {
+		case constant.GetSval() != nil:
+			parts = append(parts, constant.GetSval().GetSval())
+		case constant != nil:
+			parts = append(parts, constant.String())
+		}
+	}
+	return strings.Join(parts, ",")
+}
+
+// refusedFeature names a feature of the session that a pooled connection does
+// not keep, or returns an empty text.
+func refusedFeature(node *query.Node) string {
+	switch {
+	case node.GetListenStmt() != nil, node.GetUnlistenStmt() != nil:
+		return "LISTEN"
+	case node.GetPrepareStmt() != nil, node.GetExecuteStmt() != nil, node.GetDeallocateStmt() != nil:
+		return "PREPARE as a statement (use the protocol's prepared statements)"
+	case node.GetDeclareCursorStmt() != nil && node.GetDeclareCursorStmt().GetOptions()&cursorHold != 0:
+		return "cursors WITH HOLD"
+	case node.GetCopyStmt() != nil:
+		return "COPY"
+	case node.GetDiscardStmt() != nil:
+		return "DISCARD"
+	case node.GetCreateStmt().GetRelation().GetRelpersistence() == "t":
+		return "temporary tables"
+	}
+	return ""
+}
+
+// cursorHold is PostgreSQL's option bit of WITH HOLD.
+const cursorHold = 0x0020
+
+// addSelect tells a SELECT that only reads from one that locks, writes or calls
+// a function that may.
+func (c *Class) addSelect(node *query.Node) {
+	walk(node.ProtoReflect(), func(m protoreflect.Message) {
+		switch message := m.Interface().(type) {
+		case *query.SelectStmt:
+			if len(message.GetLockingClause()) > 0 || message.GetIntoClause() != nil {
+				c.Write = true
+			}
+		case *query.InsertStmt, *query.UpdateStmt, *query.DeleteStmt, *query.MergeStmt:
+			c.Write = true
+		case *query.FuncCall:
+			c.addCall(message)
+		}
+	})
+}
+
+func (c *Class) addCall(call *query.FuncCall) {
+	names := call.GetFuncname()
+	name := names[len(names)-1].GetString_().GetSval()
+	if strings.HasPrefix(name, "pg_advisory_") && !strings.HasPrefix(name, "pg_advisory_xact_") {
+		c.Refused = "session advisory locks"
+	}
+	if !harmless[name] {
+		c.Write = true
+	}
+}
+
+// walk calls visit for a message and all messages in it.
+func walk(m protoreflect.Message, visit func(protoreflect.Message)) {
+	visit(m)
+	m.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		if field.Kind() != protoreflect.MessageKind {
+			return true
+		}
+		if !field.IsList() {
+			walk(value.Message(), visit)
+			return true
+		}
+		list := value.List()
+		for i := range list.Len() {
+			walk(list.Get(i).Message(), visit)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/cmd/heatherhall-fake/main.go
@@ -0,0 +1,22 @@
+// Command heatherhall-fake runs one of the stand-ins that heatherhall is tested
+// against as a process of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/heatherhall/heatherhall/faker"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := faker.Program().Run(ctx, os.Args); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "heatherhall-fake:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,148 @@
+// Package commander is heatherhall's command line.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/heatherhall/heatherhall/configurer"
+	"github.com/heatherhall/heatherhall/runner"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindUsage Kind = "usage"
+	KindState Kind = "state"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Run runs the command line and returns the exit code: 0, or 1 after an error.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := &cli.Command{
+		Name:                  "heatherhall",
+		Usage:                 "a database proxy with session consistency",
+		Writer:                out,
+		ErrWriter:             errOut,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			serveCommand(),
+			checkCommand(),
+			listsCommand(),
+			statusCommand(),
+			versionCommand(),
+		},
+	}
+	if err := root.Run(ctx, args); err != nil {
+		_, _ = fmt.Fprintln(errOut, "heatherhall:", err)
+		return 1
+	}
+	return 0
+}
+
+func settingsFlag() *cli.StringFlag {
+	return &cli.StringFlag{
+		Name:    "settings",
+		Usage:   "the daemon's settings in `FILE`",
+		Value:   "heatherhall.json",
+		Sources: cli.EnvVars("HEATHERHALL_SETTINGS"),
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run a daemon until SIGTERM or SIGINT, then shut it down gracefully",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			settings, err := configurer.Read(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			daemon, err := runner.New(settings, c.Root().ErrWriter)
+			if err != nil {
+				return err
+			}
+			return daemon.Run(stopSignal())
+		},
+	}
+}
+
+// stopSignal returns a channel that is closed at SIGTERM or SIGINT.
+func stopSignal() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return stop
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a settings file and report every fault with its place",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, err := onlyArgument(c, "check", "FILE")
+			if err != nil {
+				return err
+			}
+			settings, err := configurer.Read(path)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.Root().Writer, "%s is good: host %s, %d databases\n", path, settings.Host.Name, len(settings.Databases))
+			return err
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, "heatherhall", Version)
+			return err
+		},
+	}
+}
+
+// onlyArgument returns a command's only argument.
+func onlyArgument(c *cli.Command, op, name string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", &Error{Op: op, Kind: KindUsage, Err: fmt.Errorf("want %s, see `heatherhall %s --help`", name, op)}
+	}
+	return c.Args().First(), nil
+}
--- /dev/null
+++ b/connector/control.go
@@ -0,0 +1,130 @@
+package connector
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// WatchWait is how long a server waits for a change before it answers a
+	// watch all the same.
+	WatchWait timekeeper.Millis = 300
+	// controlTimeout bounds an answer to a question of a server.
+	controlTimeout = 400 * time.Millisecond
+	// controlUser is the prefix of the user name of control connections, which
+	// do not count against the server's limit.
+	controlUser = "control_"
+)
+
+// Control is a connection for questions and commands to a server. It is opened
+// when needed and dropped after a failure, so that the next question takes a new
+// path. It is not safe for concurrent use.
+type Control struct {
+	target Target
+	conn   *pgconn.PgConn
+}
+
+// NewControl returns a control connection that is not open yet.
+func NewControl(target Target) *Control {
+	return &Control{target: target}
+}
+
+// Close closes the connection.
+func (c *Control) Close() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+// Watch asks for a report as soon as it differs from the last one.
+func (c *Control) Watch(ctx context.Context, last sequencer.Report, wait timekeeper.Millis) (sequencer.Report, error) {
+	sql := fmt.Sprintf("SELECT heatherhall_watch('%v', '%v', %d, %d)", last.Held, last.Applied, last.Promised, wait)
+	return c.report(ctx, sql, wait.Duration()+controlTimeout)
+}
+
+// Fence asks the server to promise a term. It reports whether it did; a refusal
+// is no error.
+func (c *Control) Fence(ctx context.Context, term int64) (sequencer.Report, bool, error) {
+	return c.command(ctx, fmt.Sprintf("SELECT heatherhall_fence(%d)", term))
+}
+
+// Promote makes the server the primary of a term it was fenced at. It reports
+// whether it did.
+func (c *Control) Promote(ctx context.Context, term int64) (sequencer.Report, bool, error) {
+	return c.command(ctx, fmt.Sprintf("SELECT heatherhall_promote(%d)", term))
+}
+
+// Follow makes the server a replica of the primary at an address.
+func (c *Control) Follow(ctx context.Context, term int64, address string) (sequencer.Report, bool, error) {
+	return c.command(ctx, fmt.Sprintf("SELECT heatherhall_follow(%d, '%s')", term, address))
+}
+
+// command sends a command and, where the server refuses it, asks for a report.
+func (c *Control) command(ctx context.Context, sql string) (sequencer.Report, bool, error) {
+	report, err := c.report(ctx, sql, controlTimeout)
+	if err == nil {
+		return report, true, nil
+	}
+	var refused *pgconn.PgError
+	if !errors.As(err, &refused) {
+		return report, false, err
+	}
+	report, err = c.Watch(ctx, sequencer.Report{}, 0)
+	return report, false, err
+}
+
+// Running asks whether a session of the server is running a statement.
+func (c *Control) Running(ctx context.Context, pid uint32) (bool, error) {
+	value, err := c.query(ctx, "SELECT heatherhall_session("+strconv.FormatUint(uint64(pid), 10)+")", controlTimeout)
+	return value == "running", err
+}
+
+func (c *Control) report(ctx context.Context, sql string, timeout time.Duration) (sequencer.Report, error) {
+	var report sequencer.Report
+	value, err := c.query(ctx, sql, timeout)
+	if err != nil {
+		return report, err
+	}
+	if err := json.Unmarshal([]byte(value), &report); err != nil {
+		return report, &Error{Op: "report", Kind: KindProtocol, Err: err}
+	}
+	return report, nil
+}
+
+// query returns the only value that a statement returns.
+func (c *Control) query(ctx context.Context, sql string, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if c.conn == nil {
+		conn, err := c.target.open(ctx, controlUser+c.target.User)
+		if err != nil {
+			return "", err
+		}
+		c.conn = conn
+	}
+	results, err := c.conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		var refused *pgconn.PgError
+		if !errors.As(err, &refused) {
+			c.Close()
+		}
+		return "", &Error{Op: "query", Kind: KindServer, Err: err}
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+		return "", &Error{Op: "query", Kind: KindProtocol, Err: errors.New("want one value")}
+	}
+	return string(results[0].Rows[0][0]), nil
+}
--- /dev/null
+++ b/decider/limit.go
@@ -0,0 +1,55 @@
+package decider
+
+import (
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// bucket is a customer's token bucket at this entry. Levels are in thousandths
+// of a statement, so that a millisecond's worth is a whole number.
+type bucket struct {
+	level int64
+	at    timekeeper.Millis
+}
+
+const (
+	// milli is one statement in a bucket.
+	milli = 1000
+	// bucketLife is how long an unused bucket is kept.
+	bucketLife timekeeper.Millis = 60_000
+)
+
+// spend takes a statement from the customer's bucket. It returns the time after
+// which there is one again, or 0.
+func (n *Node) spend(now timekeeper.Millis, customer string, plan planner.Plan) timekeeper.Millis {
+	if plan.Rate <= 0 {
+		return 0
+	}
+	rate := int64(plan.Rate)
+	b := n.buckets[customer]
+	if b == nil {
+		b = &bucket{level: rate * milli, at: now}
+		n.buckets[customer] = b
+	}
+	b.level = min(rate*milli, b.level+rate*int64(now-b.at))
+	b.at = now
+	if b.level < milli {
+		return max(1, timekeeper.Millis((milli-b.level)/rate))
+	}
+	b.level -= milli
+	return 0
+}
+
+// tickLimits forgets what is no longer needed of customers.
+func (n *Node) tickLimits(now timekeeper.Millis) {
+	for key, until := range n.blocked {
+		if now >= until {
+			delete(n.blocked, key)
+		}
+	}
+	for customer, b := range n.buckets {
+		if now-b.at > bucketLife {
+			delete(n.buckets, customer)
+		}
+	}
+}
--- /dev/null
+++ b/decider/node.go
@@ -0,0 +1,198 @@
+package decider
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+	"github.com/heatherhall/heatherhall/watcher"
+)
+
+// Node is the whole of one daemon's decisions. It is not safe for concurrent
+// use.
+type Node struct {
+	settings Settings
+	seams    Seams
+	out      []Command
+
+	hosts   *watcher.Hosts
+	lists   planner.Lists
+	heard   bool
+	homes   map[string]*home
+	pending map[string]*pending
+	callers map[uint64]string
+	buckets map[string]*bucket
+	blocked map[blockKey]timekeeper.Millis
+	backend map[string]map[string]bool
+
+	conn     pooler.Conn
+	number   uint64
+	tailDue  timekeeper.Millis
+	hostsDue timekeeper.Millis
+	started  bool
+	draining bool
+}
+
+// New returns a node that has just started. Its incarnation must be higher than
+// that of any earlier daemon of the same name.
+func New(settings Settings, seams Seams) *Node {
+	n := &Node{
+		settings: settings,
+		seams:    seams,
+		lists:    planner.Empty(),
+		homes:    map[string]*home{},
+		pending:  map[string]*pending{},
+		callers:  map[uint64]string{},
+		buckets:  map[string]*bucket{},
+		blocked:  map[blockKey]timekeeper.Millis{},
+		backend:  map[string]map[string]bool{},
+	}
+	n.hosts = watcher.New(settings.Hosts, settings.Self, settings.Peers, seams.Log)
+	return n
+}
+
+func (n *Node) take() []Command {
+	out := n.out
+	n.out = nil
+	return out
+}
+
+func (n *Node) emit(c Command) {
+	n.out = append(n.out, c)
+}
+
+func (n *Node) logf(format string, args ...any) {
+	if n.seams.Log != nil {
+		n.seams.Log(format, args...)
+	}
+}
+
+func (n *Node) nextConn() pooler.Conn {
+	n.conn++
+	return n.conn
+}
+
+// nextID returns an id that no other daemon gives, and this one never again.
+func (n *Node) nextID() string {
+	n.number++
+	return n.settings.Self.Name + "-" + strconv.FormatInt(n.settings.Self.Incarnation, 36) + "-" + strconv.FormatUint(n.number, 36)
+}
+
+// Hosts returns the list of hosts.
+func (n *Node) Hosts() *watcher.Hosts {
+	return n.hosts
+}
+
+// Lists returns the operators' lists in force.
+func (n *Node) Lists() planner.Lists {
+	return n.lists
+}
+
+// Ready reports whether the daemon knows the lists and so may take callers.
+func (n *Node) Ready() bool {
+	return n.heard && !n.draining
+}
+
+// Load returns the number of requests that wait for an outcome here.
+func (n *Node) Load() int {
+	return len(n.pending)
+}
+
+// Tick does what is due by now. Drivers call it every 10 to 50 ms.
+func (n *Node) Tick(now timekeeper.Millis) []Command {
+	for _, send := range n.hosts.Tick(now) {
+		n.emit(Probe(send))
+	}
+	n.readPlatform(now)
+	n.tickHomes(now)
+	n.tickPending(now)
+	n.tickLimits(now)
+	return n.take()
+}
+
+func (n *Node) readPlatform(now timekeeper.Millis) {
+	if now >= n.hostsDue {
+		n.hostsDue = now + n.settings.HostList
+		n.emit(ReadHosts{})
+	}
+	if now < n.tailDue {
+		return
+	}
+	n.tailDue = now + n.settings.Tail
+	if !n.heard || n.hosts.Speaker(n.settings.Self.Domain) == n.settings.Self.Name {
+		n.emit(ReadTail{After: n.lists.Version()})
+	}
+}
+
+// tickHomes opens the homes that this host is to keep, closes those it is not,
+// and lets each do what is due.
+func (n *Node) tickHomes(now timekeeper.Millis) {
+	for _, name := range slices.Sorted(maps.Keys(n.settings.Databases)) {
+		mine := n.hosts.Home(name) == n.settings.Self.Name && !n.draining
+		h := n.homes[name]
+		if h == nil {
+			if !mine {
+				continue
+			}
+			h = n.open(now, name)
+		}
+		h.setMine(now, mine, n)
+		h.tick(now, n)
+		if h.idle(now) {
+			delete(n.homes, name)
+			n.logf("watcher: this host no longer keeps %s", name)
+			n.closeHome(h)
+		}
+	}
+}
+
+// open makes the home of a database on this host.
+func (n *Node) open(now timekeeper.Millis, database string) *home {
+	h := n.homes[database]
+	if h != nil {
+		return h
+	}
+	h = newHome(now, database, n)
+	n.homes[database] = h
+	if leaving := n.backend[database]; leaving != nil {
+		n.serverCommands(now, h, h.dispatcher.SetLeaving(now, leaving))
+	}
+	return h
+}
+
+func (n *Node) closeHome(h *home) {
+	for _, conn := range h.dispatcher.Connections() {
+		n.emit(ToServer{Database: h.database, Command: dispatcher.CloseConn{Conn: conn}})
+	}
+}
+
+// Drain makes the daemon leave: it gives its homes up to other hosts and takes
+// no new callers. Work in progress goes on.
+func (n *Node) Drain(now timekeeper.Millis) []Command {
+	if n.draining {
+		return nil
+	}
+	n.draining = true
+	n.logf("drainer: this host leaves with %d requests and %d homes", len(n.pending), len(n.homes))
+	for _, send := range n.hosts.Leave(now) {
+		n.emit(Probe(send))
+	}
+	return n.take()
+}
+
+// Drained reports whether nothing is in progress any more.
+func (n *Node) Drained() bool {
+	if !n.draining || len(n.pending) > 0 {
+		return false
+	}
+	for _, h := range n.homes {
+		if h.dispatcher.Jobs() > 0 || h.promoter.Busy() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/decider/peer.go
@@ -0,0 +1,137 @@
+package decider
+
+import (
+	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/timekeeper"
+	"github.com/heatherhall/heatherhall/watcher"
+)
+
+// Mailed takes a message from another daemon.
+func (n *Node) Mailed(now timekeeper.Millis, from string, m Mail) []Command {
+	switch {
+	case m.Work != nil:
+		n.mailedWork(now, *m.Work)
+	case m.Step != nil:
+		n.mailedStep(now, *m.Step)
+	case m.Outcome != nil:
+		n.settle(now, *m.Outcome)
+	case m.Cancel != nil:
+		return n.withHome(now, m.Cancel.Database, func(h *home) []dispatcher.Command {
+			return h.dispatcher.Cancel(now, m.Cancel.ID)
+		})
+	case m.Fetch != nil:
+		n.sendLists(from, m.Fetch.After)
+	case m.Lists != nil:
+		n.adopt(*m.Lists)
+	}
+	return n.take()
+}
+
+// mailedWork runs work of another entry. Work for a database that this host is
+// not the home of is run all the same: two homes are slow, never wrong.
+func (n *Node) mailedWork(now timekeeper.Millis, w dispatcher.Work) {
+	if _, known := n.settings.Databases[w.Database]; !known {
+		n.refuseTo(w.Entry, dispatcher.Outcome{ID: w.ID, Class: dispatcher.ClassRefused, Code: CodeDatabase, Text: "the home does not know the database"})
+		return
+	}
+	h := n.open(now, w.Database)
+	n.serverCommands(now, h, h.dispatcher.Submit(now, w))
+}
+
+func (n *Node) refuseTo(entry string, o dispatcher.Outcome) {
+	if to, known := n.hosts.Member(entry); known {
+		n.emit(ToPeer{To: to, Mail: Mail{Outcome: &o}})
+	}
+}
+
+func (n *Node) mailedStep(now timekeeper.Millis, s StepMail) {
+	if _, known := n.settings.Databases[s.Database]; !known {
+		return
+	}
+	h := n.open(now, s.Database)
+	n.serverCommands(now, h, h.dispatcher.Step(now, s.Entry, s.Step))
+}
+
+// Probed takes a datagram from another daemon. One that carries a higher
+// version of the lists is asked for them.
+func (n *Node) Probed(now timekeeper.Millis, m watcher.Message) []Command {
+	for _, send := range n.hosts.Received(now, m) {
+		n.emit(Probe(send))
+	}
+	if m.Lists > n.lists.Version() {
+		if to, known := n.hosts.Member(m.From.Name); known {
+			n.emit(ToPeer{To: to, Mail: Mail{Fetch: &FetchMail{After: n.lists.Version()}}})
+		}
+	}
+	return n.take()
+}
+
+func (n *Node) sendLists(from string, after int64) {
+	to, known := n.hosts.Member(from)
+	if !known || n.lists.Version() <= after {
+		return
+	}
+	file := n.lists.File()
+	n.emit(ToPeer{To: to, Mail: Mail{Lists: &file}})
+}
+
+// adopt takes over lists of a higher version.
+func (n *Node) adopt(file planner.File) {
+	if file.Version <= n.lists.Version() {
+		return
+	}
+	lists, err := file.Lists()
+	if err != nil {
+		n.logf("planner: lists of version %d from a peer are refused: %v", file.Version, err)
+		return
+	}
+	n.setLists(lists)
+}
+
+func (n *Node) setLists(lists planner.Lists) {
+	if n.seams.Invariant != nil {
+		n.seams.Invariant(lists.Version() >= n.lists.Version(), "planner: lists went back from %d to %d", n.lists.Version(), lists.Version())
+	}
+	n.lists = lists
+	n.heard = true
+	n.hosts.Lists = lists.Version()
+	n.logf("planner: lists of version %d are in force", lists.Version())
+}
+
+// TailRead takes the edits read from the platform after the present version, in
+// order, or a snapshot that is newer than them.
+func (n *Node) TailRead(_ timekeeper.Millis, snapshot *planner.File, edits []planner.Edit) []Command {
+	n.heard = true
+	if snapshot != nil {
+		n.adopt(*snapshot)
+	}
+	lists := n.lists
+	for _, e := range edits {
+		if e.Base < lists.Version() {
+			continue
+		}
+		next, err := lists.With(e)
+		if err != nil {
+			n.logf("planner: edit %s is passed over: %v", e.ID, err)
+			next = lists.Passed(e)
+		}
+		lists = next
+	}
+	if lists.Version() > n.lists.Version() {
+		n.setLists(lists)
+	}
+	return n.take()
+}
+
+// HostsRead takes the platform's list: the entry hosts, those of them that
+// leave, and the leaving backend servers by database.
+func (n *Node) HostsRead(now timekeeper.Millis, hosts []watcher.Member, leaving map[string]bool, servers map[string]map[string]bool) []Command {
+	n.hosts.Listed(hosts, leaving)
+	n.backend = servers
+	for name, h := range n.homes {
+		n.serverCommands(now, h, h.dispatcher.SetLeaving(now, servers[name]))
+	}
+	n.started = true
+	return n.take()
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,346 @@
+package dispatcher
+
+import (
+	"github.com/heatherhall/heatherhall/acknowledger"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/router"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// attemptLimit bounds how often one unit of work is sent to servers.
+	attemptLimit = 4
+	// retryEarned is the part of a retry that each unit of work adds to the
+	// budget.
+	retryEarned = 0.1
+	// retryLimit is the greatest number of retries saved up.
+	retryLimit = 20.0
+)
+
+// SQLSTATEs of outcomes that the dispatcher decides itself.
+const (
+	CodeOverload   = "53300"
+	CodeNoPrimary  = "57P03"
+	CodeUnknown    = "08007"
+	CodeRolledBack = "40000"
+	CodeRepeated   = "HH001"
+	CodeReused     = "HH002"
+	CodeStale      = "HH003"
+	CodeIdle       = "25P03"
+)
+
+// codeReadOnly is what a server answers that is not, or no longer, the primary.
+// The work did not run.
+const codeReadOnly = "25006"
+
+// Dispatcher is the home of one database. It is not safe for concurrent use.
+type Dispatcher struct {
+	settings Settings
+	deps     Deps
+	out      []Command
+
+	servers  []*server
+	byName   map[string]*server
+	queue    *scheduler.Queue
+	tracker  *acknowledger.Tracker
+	age      *router.Age
+	progress progress
+
+	jobs map[string]*job
+	// parked are the jobs that wait for positions.
+	parked map[string]*job
+	conns  map[pooler.Conn]*job
+	owner  map[pooler.Conn]*server
+
+	history sequencer.History
+	primary *server
+	paused  bool
+	asked   uint64
+	askedAt map[uint64]timekeeper.Millis
+	budget  float64
+	costs   [scheduler.Ranks]float64
+	share   int
+	scratch []router.Candidate
+}
+
+// New returns a dispatcher that knows nothing yet of its servers' state.
+func New(settings Settings, deps Deps) *Dispatcher {
+	d := &Dispatcher{
+		settings: settings,
+		deps:     deps,
+		byName:   map[string]*server{},
+		queue:    scheduler.New(settings.Classes, settings.Queue),
+		tracker:  acknowledger.New(len(settings.Servers)),
+		age:      router.NewAge(len(settings.Servers)),
+		jobs:     map[string]*job{},
+		parked:   map[string]*job{},
+		conns:    map[pooler.Conn]*job{},
+		owner:    map[pooler.Conn]*server{},
+		askedAt:  map[uint64]timekeeper.Millis{},
+		budget:   retryLimit / 2,
+		share:    100,
+	}
+	if settings.Need > 0 {
+		d.tracker = d.tracker.WithNeed(settings.Need)
+	}
+	for i := range d.costs {
+		d.costs[i] = serviceGuess
+	}
+	for _, s := range settings.Servers {
+		added := &server{Server: s, pool: pooler.New(s.Connections, deps.NextConn), service: serviceGuess}
+		d.servers = append(d.servers, added)
+		d.byName[s.Name] = added
+	}
+	return d
+}
+
+// take returns the commands decided since the last call.
+func (d *Dispatcher) take() []Command {
+	out := d.out
+	d.out = nil
+	return out
+}
+
+func (d *Dispatcher) emit(c Command) {
+	d.out = append(d.out, c)
+}
+
+// Submit takes a unit of work. Work already known is passed over, so that a
+// message sent twice runs once.
+func (d *Dispatcher) Submit(now timekeeper.Millis, w Work) []Command {
+	if _, known := d.jobs[w.ID]; known {
+		return nil
+	}
+	j := &job{work: w, arrived: now, expires: now + w.Within, floor: w.Floor}
+	d.jobs[w.ID] = j
+	d.budget = min(retryLimit, d.budget+retryEarned)
+	d.place(now, j)
+	d.pump(now)
+	return d.take()
+}
+
+// place decides what a unit of work waits for.
+func (d *Dispatcher) place(now timekeeper.Millis, j *job) {
+	if j.work.lane() == scheduler.LaneAny && !d.resolveFloor(now, j) {
+		j.phase = phaseBarrier
+		j.barrier = d.asked
+		j.until = min(j.expires, now+d.settings.Classes[j.work.Rank].Target)
+		d.parked[j.work.ID] = j
+		d.askAll(now)
+		return
+	}
+	if d.park(now, j) {
+		d.parked[j.work.ID] = j
+		return
+	}
+	d.enqueue(now, j)
+}
+
+// resolveFloor sets the floor of a read that asks for a barrier or an age. It
+// reports false where a majority must be asked first.
+func (d *Dispatcher) resolveFloor(now timekeeper.Millis, j *job) bool {
+	if j.work.MaxAge > 0 {
+		floor, known := d.age.Floor(now, j.work.MaxAge)
+		if known {
+			j.floor = sequencer.Max(j.work.Floor, floor)
+		}
+		return known
+	}
+	return !j.work.Barrier
+}
+
+// park lets a read wait for a replica that is about to cover its floor.
+func (d *Dispatcher) park(now timekeeper.Millis, j *job) bool {
+	if j.work.lane() != scheduler.LaneAny || j.phase == phaseParked || d.settings.Primary {
+		return false
+	}
+	candidates := d.candidates(now, j.work.Rank)
+	if router.CoveredByReplica(candidates, d.need(j)) {
+		return false
+	}
+	seen := now - d.progress.seen(j.floor.Offset, now)
+	wait, known := router.CatchUp(candidates, seen)
+	if !known || wait > d.settings.CatchUp {
+		return false
+	}
+	j.phase = phaseParked
+	j.until = now + wait + 1
+	return true
+}
+
+// need returns what a read asks of a server. Floors on entries that were never
+// acknowledged and are lost are clamped to what survived.
+func (d *Dispatcher) need(j *job) router.Need {
+	return router.Need{Floor: d.history.Clamp(j.floor), History: d.history}
+}
+
+// enqueue puts a unit of work into the queue or refuses it.
+func (d *Dispatcher) enqueue(now timekeeper.Millis, j *job) {
+	j.phase = phaseQueued
+	j.item = scheduler.Item{
+		ID:       j.work.ID,
+		Customer: j.work.Customer,
+		Rank:     j.work.Rank,
+		Lane:     d.laneOf(now, j),
+		Cost:     d.costs[j.work.Rank],
+		Deadline: d.deadline(now, j),
+		Limit:    j.work.Limit,
+	}
+	d.queue.SetCapacity(d.capacity(now, j.item.Lane))
+	if err := d.queue.Push(now, j.item); err != nil {
+		d.refuse(j, CodeOverload, err.Error(), retryAfter(err))
+	}
+}
+
+// laneOf sends reads that no replica covers to the primary.
+func (d *Dispatcher) laneOf(now timekeeper.Millis, j *job) scheduler.Lane {
+	if j.work.lane() == scheduler.LanePrimary || d.settings.Primary {
+		return scheduler.LanePrimary
+	}
+	if router.CoveredByReplica(d.candidates(now, j.work.Rank), d.need(j)) {
+		return scheduler.LaneAny
+	}
+	return scheduler.LanePrimary
+}
+
+// deadline is the time by which work must have started: its rank's target, or
+// longer while there is no primary.
+func (d *Dispatcher) deadline(now timekeeper.Millis, j *job) timekeeper.Millis {
+	wait := d.settings.Classes[j.work.Rank].Target
+	if !d.hasPrimary(now) || j.attempts > 0 {
+		wait = max(wait, d.settings.Hold)
+	}
+	return min(j.expires, j.arrived+wait)
+}
+
+func (d *Dispatcher) hasPrimary(now timekeeper.Millis) bool {
+	return d.primary != nil && d.primary.usable(now, d.settings.Silence)
+}
+
+// capacity returns how many pieces of work can run at once in a lane.
+func (d *Dispatcher) capacity(now timekeeper.Millis, lane scheduler.Lane) int {
+	if lane == scheduler.LanePrimary {
+		if d.primary == nil {
+			return 1
+		}
+		return d.primary.slots(now)
+	}
+	total := 0
+	for _, s := range d.servers {
+		if s.usable(now, d.settings.Silence) {
+			total += s.slots(now)
+		}
+	}
+	return total
+}
+
+// candidates returns the servers as the router sees them. The slice is reused
+// by the next call.
+func (d *Dispatcher) candidates(now timekeeper.Millis, rank scheduler.Rank) []router.Candidate {
+	d.scratch = d.scratch[:0]
+	for _, s := range d.servers {
+		d.scratch = append(d.scratch, s.candidate(now, d.settings.Silence, s == d.primary, rank))
+	}
+	return d.scratch
+}
+
+// choose returns the server that would run an item now, or nil.
+func (d *Dispatcher) choose(now timekeeper.Millis, item scheduler.Item) *server {
+	j := d.jobs[item.ID]
+	if j == nil {
+		return nil
+	}
+	candidates := d.candidates(now, item.Rank)
+	if j.work.lane() == scheduler.LanePrimary || d.settings.Primary {
+		return d.choosePrimary(candidates, j)
+	}
+	if i := router.Read(candidates, d.need(j)); i >= 0 {
+		return d.servers[i]
+	}
+	return nil
+}
+
+func (d *Dispatcher) choosePrimary(candidates []router.Candidate, j *job) *server {
+	i := router.Primary(candidates)
+	if i < 0 || candidates[i].Free < 1 || d.paused && j.work.lane() == scheduler.LanePrimary {
+		return nil
+	}
+	return d.servers[i]
+}
+
+// pump starts waiting work for as long as servers are free.
+func (d *Dispatcher) pump(now timekeeper.Millis) {
+	for d.queue.Total() > 0 {
+		open := d.openLanes(now)
+		if !open[scheduler.LanePrimary] && !open[scheduler.LaneAny] {
+			break
+		}
+		item, found := d.queue.Pop(open, func(item scheduler.Item) bool {
+			return d.choose(now, item) != nil
+		})
+		if !found {
+			break
+		}
+		d.start(now, d.jobs[item.ID], d.choose(now, item))
+	}
+	d.connect(now)
+}
+
+func (d *Dispatcher) openLanes(now timekeeper.Millis) [2]bool {
+	var open [2]bool
+	for _, s := range d.servers {
+		if s.usable(now, d.settings.Silence) && s.slots(now) > s.running && s.pool.Ready(scheduler.RankUrgent) {
+			open[scheduler.LaneAny] = true
+			if s == d.primary {
+				open[scheduler.LanePrimary] = true
+			}
+		}
+	}
+	return open
+}
+
+// start sends a unit of work to a server.
+func (d *Dispatcher) start(now timekeeper.Millis, j *job, s *server) {
+	conn, ready := s.pool.Take(j.work.Rank)
+	d.invariant(ready, "dispatcher: %s chose %s without a free connection", j.work.ID, s.Name)
+	if !ready {
+		d.queue.Done(j.item, 0)
+		d.enqueue(now, j)
+		return
+	}
+	if d.deps.Log != nil {
+		d.deps.Log("router: %s chose %s for %s of %s, applied %v, floor %v, running %d, waited %d ms",
+			d.settings.Database, s.Name, j.work.ID, j.work.Rank, s.report.Applied, j.floor, s.running, now-j.arrived)
+	}
+	j.phase = phaseRunning
+	j.conn = conn
+	j.server = s
+	j.sent = now
+	j.inspect = now + d.settings.Overdue
+	j.idle = 0
+	j.attempts++
+	s.running++
+	d.conns[conn] = j
+	d.emit(Exec{
+		Conn:     conn,
+		Customer: j.work.Customer,
+		Key:      j.work.Key,
+		Digest:   j.work.Digest,
+		Begin:    j.work.Begin,
+		Payload:  j.work.Payload,
+	})
+}
+
+func (d *Dispatcher) invariant(holds bool, format string, args ...any) {
+	if d.deps.Invariant != nil {
+		d.deps.Invariant(holds, format, args...)
+	}
+}
+
+func (d *Dispatcher) logf(format string, args ...any) {
+	if d.deps.Log != nil {
+		d.deps.Log(format, args...)
+	}
+}
--- /dev/null
+++ b/dispatcher/job.go
@@ -0,0 +1,55 @@
+package dispatcher
+
+import (
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// phase is where a unit of work stands.
+type phase int
+
+const (
+	// phaseBarrier: waiting for a majority's positions.
+	phaseBarrier phase = iota
+	// phaseParked: waiting for a replica to catch up.
+	phaseParked
+	// phaseQueued: waiting to start.
+	phaseQueued
+	// phaseRunning: sent to a server.
+	phaseRunning
+	// phaseOpen: a transaction is open and waits for its next step.
+	phaseOpen
+	// phaseAcknowledging: committed, waiting for a majority.
+	phaseAcknowledging
+)
+
+// job is a unit of work with its state.
+type job struct {
+	work    Work
+	phase   phase
+	item    scheduler.Item
+	arrived timekeeper.Millis
+	expires timekeeper.Millis
+	// floor is the work's floor, raised by its barrier or age.
+	floor    sequencer.Position
+	barrier  uint64
+	until    timekeeper.Millis
+	conn     pooler.Conn
+	server   *server
+	sent     timekeeper.Millis
+	inspect  timekeeper.Millis
+	idle     int
+	attempts int
+	// step is the number of the transaction's present step; 0 is its beginning.
+	step    int
+	commit  bool
+	opened  bool
+	outcome Outcome
+}
+
+// holdsSlot reports whether the job counts as running on its server.
+func (j *job) holdsSlot() bool {
+	return j.phase == phaseRunning
+}
--- /dev/null
+++ b/dispatcher/outcome.go
@@ -0,0 +1,74 @@
+package dispatcher
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+func retryAfter(err error) timekeeper.Millis {
+	var e *scheduler.Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
+// refuse ends work that did not run.
+func (d *Dispatcher) refuse(j *job, code, text string, retry timekeeper.Millis) {
+	d.logf("dispatcher: %s refused %s of %s as not run: %s", d.settings.Database, j.work.ID, j.work.Rank, text)
+	d.finish(j, Outcome{Class: ClassRefused, Code: code, Text: text, Retry: retry})
+}
+
+// doubt ends work whose outcome is not known.
+func (d *Dispatcher) doubt(j *job, text string) {
+	d.logf("dispatcher: %s reports %s as unknown: %s", d.settings.Database, j.work.ID, text)
+	d.finish(j, Outcome{Class: ClassUnknown, Code: CodeUnknown, Text: text})
+}
+
+// finish hands the outcome of the work, or of its transaction's present step,
+// to the entry. The work is forgotten unless its transaction goes on.
+func (d *Dispatcher) finish(j *job, o Outcome) {
+	o.ID = j.work.ID
+	o.Number = j.step
+	d.emit(Finish{Entry: j.work.Entry, Outcome: o})
+	if o.Open() {
+		return
+	}
+	d.forget(j)
+}
+
+// requeue runs work again that did not run, or that may safely run twice.
+// Retries of work that may have run are bounded by the budget.
+func (d *Dispatcher) requeue(now timekeeper.Millis, j *job, ran bool) {
+	if j.attempts >= attemptLimit || now >= j.expires {
+		d.giveUp(j, ran, "no answer after several attempts")
+		return
+	}
+	if d.budget < 1 {
+		d.giveUp(j, ran, "the retry budget is used up")
+		return
+	}
+	d.budget--
+	d.place(now, j)
+}
+
+// giveUp ends work after failed attempts. A read has no effect, so it never
+// ran as far as its caller can tell.
+func (d *Dispatcher) giveUp(j *job, ran bool, text string) {
+	if ran && j.work.Write {
+		d.doubt(j, text)
+		return
+	}
+	d.refuse(j, CodeNoPrimary, text, d.settings.Classes[j.work.Rank].Target)
+}
+
+// forget drops all state of a unit of work but its connection.
+func (d *Dispatcher) forget(j *job) {
+	if j.phase == phaseAcknowledging {
+		d.tracker.Remove(j.work.ID)
+	}
+	delete(d.parked, j.work.ID)
+	delete(d.jobs, j.work.ID)
+}
--- /dev/null
+++ b/dispatcher/work.go
@@ -0,0 +1,205 @@
+// Package dispatcher runs the work of one database on its backend servers: it
+// queues, chooses servers, uses connections, withholds acknowledgements until a
+// majority holds a commit, and retries what is safe to run again. It decides
+// only: inputs are method calls with the present time, outputs are commands.
+package dispatcher
+
+import (
+	"encoding/json"
+
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Work is a caller's unit of work for one database: a batch of statements that
+// commits by itself, or the beginning of a transaction (Begin).
+type Work struct {
+	ID       string         `json:"id"`
+	Entry    string         `json:"entry"`
+	Customer string         `json:"customer"`
+	Database string         `json:"database"`
+	Rank     scheduler.Rank `json:"rank"`
+	Write    bool           `json:"write,omitempty"`
+	Begin    bool           `json:"begin,omitempty"`
+	// Key is the caller's request key; work with a key runs at most once and
+	// may be retried.
+	Key    string `json:"key,omitempty"`
+	Digest string `json:"digest,omitempty"`
+	// Floor is the position that a read must see.
+	Floor sequencer.Position `json:"floor"`
+	// Barrier asks for a floor at every write acknowledged before the work
+	// arrived, for sessions whose floor is not known.
+	Barrier bool `json:"barrier,omitempty"`
+	// MaxAge lets a read see data of up to this age instead of its floor.
+	MaxAge timekeeper.Millis `json:"age,omitempty"`
+	// Within is the time that the caller waits for an outcome.
+	Within timekeeper.Millis `json:"within"`
+	// Limit is how many statements the customer may have running; 0 is any.
+	Limit   int    `json:"limit,omitempty"`
+	Payload []byte `json:"payload"`
+}
+
+// UnmarshalJSON decodes work and checks that it is complete.
+func (w *Work) UnmarshalJSON(data []byte) error {
+	type plain Work
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return invalid("decode work", err.Error())
+	}
+	switch {
+	case p.ID == "":
+		return invalid("decode work", "id is missing")
+	case p.Database == "":
+		return invalid("decode work", "database is missing")
+	case p.Within <= 0:
+		return invalid("decode work", "within must be above 0")
+	case p.Key != "" && p.Digest == "":
+		return invalid("decode work", "a key needs a digest")
+	}
+	*w = Work(p)
+	return nil
+}
+
+// lane tells where the work may run.
+func (w Work) lane() scheduler.Lane {
+	if w.Write || w.Begin {
+		return scheduler.LanePrimary
+	}
+	return scheduler.LaneAny
+}
+
+// repeatable reports whether the work may run again when it is not known
+// whether it ran.
+func (w Work) repeatable() bool {
+	if w.Begin {
+		return false
+	}
+	return !w.Write || w.Key != ""
+}
+
+// Step is a further batch of statements of an open transaction.
+type Step struct {
+	ID string `json:"id"`
+	// Number counts the steps of a transaction from 1.
+	Number int `json:"number"`
+	// Commit marks the batch that ends the transaction.
+	Commit  bool   `json:"commit,omitempty"`
+	Payload []byte `json:"payload"`
+}
+
+// Class tells outcomes apart.
+type Class string
+
+// The classes of outcomes.
+const (
+	// ClassDone: the server answered; the payload holds its messages.
+	ClassDone Class = "done"
+	// ClassRefused: the work did not run.
+	ClassRefused Class = "refused"
+	// ClassUnknown: the work may or may not have run.
+	ClassUnknown Class = "unknown"
+)
+
+// Outcome is what became of a unit of work or of a step.
+type Outcome struct {
+	ID     string `json:"id"`
+	Number int    `json:"number,omitempty"`
+	Class  Class  `json:"class"`
+	Code   string `json:"code,omitempty"`
+	Text   string `json:"text,omitempty"`
+	// Retry is the time after which refused work may be offered again.
+	Retry timekeeper.Millis `json:"retry,omitempty"`
+	// Payload holds the server's messages, up to and without ReadyForQuery.
+	Payload []byte `json:"payload,omitempty"`
+	// Position is what the session has now written or seen.
+	Position sequencer.Position `json:"position"`
+	// Status is the transaction state: I, T or E.
+	Status  string `json:"status,omitempty"`
+	Server  string `json:"server,omitempty"`
+	Replica bool   `json:"replica,omitempty"`
+	Repeat  bool   `json:"repeat,omitempty"`
+}
+
+// Open reports whether a transaction is open after the outcome.
+func (o Outcome) Open() bool {
+	return o.Class == ClassDone && (o.Status == "T" || o.Status == "E")
+}
+
+// Reply tells how a connection answered.
+type Reply string
+
+// The ways a connection answers.
+const (
+	// ReplyDone: the answer was read whole.
+	ReplyDone Reply = "done"
+	// ReplyUnsent: the connection failed before any byte of the work was sent.
+	ReplyUnsent Reply = "unsent"
+	// ReplyLost: the connection failed after that.
+	ReplyLost Reply = "lost"
+)
+
+// Answer is what a connection returned for a unit of work or a step.
+type Answer struct {
+	Conn  pooler.Conn
+	Reply Reply
+	// Code is the SQLSTATE of the first error, or empty.
+	Code    string
+	Payload []byte
+	Status  string
+	// Seen is the position that the first statement saw, Final the last
+	// position the server reported.
+	Seen  sequencer.Position
+	Final sequencer.Position
+	// Repeat marks the outcome of an earlier run of keyed work, Reused a key
+	// that belongs to other work.
+	Repeat bool
+	Reused bool
+	// Took is the service time in milliseconds.
+	Took float64
+}
+
+// Command is something the daemon is to do.
+type Command any
+
+// OpenConn opens a connection.
+type OpenConn struct {
+	Conn   pooler.Conn
+	Server string
+}
+
+// CloseConn closes a connection.
+type CloseConn struct {
+	Conn pooler.Conn
+}
+
+// Exec sends work or a step over a connection.
+type Exec struct {
+	Conn     pooler.Conn
+	Customer string
+	Key      string
+	Digest   string
+	Begin    bool
+	Commit   bool
+	Payload  []byte
+}
+
+// Ask asks a server for a report at once, over a path of its own.
+type Ask struct {
+	Server string
+	Number uint64
+}
+
+// Inspect asks a server whether the session behind a connection is running a
+// statement.
+type Inspect struct {
+	Server string
+	Conn   pooler.Conn
+}
+
+// Finish hands an outcome to the entry that took the work.
+type Finish struct {
+	Entry   string
+	Outcome Outcome
+}
--- /dev/null
+++ b/observer/metrics.go
@@ -0,0 +1,60 @@
+package observer
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the daemon's metrics.
+type Metrics struct {
+	registry *prometheus.Registry
+	// Outcomes counts outcomes by class, rank and kind of work.
+	Outcomes *prometheus.CounterVec
+	// Reads counts answered reads by the role of the server that ran them.
+	Reads *prometheus.CounterVec
+	// Wait observes the time from request to outcome in seconds, by rank.
+	Wait *prometheus.HistogramVec
+	// Invariants counts checks that failed. It must stay 0.
+	Invariants prometheus.Counter
+	// Promotions counts changes of primary led by this daemon.
+	Promotions prometheus.Counter
+}
+
+// NewMetrics returns metrics with a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		Outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhall_outcomes_total",
+			Help: "Outcomes of callers' requests by class and SQLSTATE.",
+		}, []string{"class", "code"}),
+		Reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherhall_reads_total",
+			Help: "Answered reads by the role of the backend server.",
+		}, []string{"role"}),
+		Wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "heatherhall_request_seconds",
+			Help:    "Time from request to outcome by rank.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"rank"}),
+		Invariants: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherhall_invariant_failures_total",
+			Help: "Checks inside the program that failed; must stay 0.",
+		}),
+		Promotions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherhall_promotions_total",
+			Help: "Changes of primary that this daemon led.",
+		}),
+	}
+	m.registry.MustRegister(m.Outcomes, m.Reads, m.Wait, m.Invariants, m.Promotions)
+	return m
+}
+
+// Registry returns the registry that holds the metrics.
+func (m *Metrics) Registry() *prometheus.Registry {
+	return m.registry
+}
+
+// Gauge adds a gauge whose value is read when asked for.
+func (m *Metrics) Gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
--- /dev/null
+++ b/pooler/pool.go
@@ -0,0 +1,170 @@
+// Package pooler decides which connections to one backend server are opened,
+// used, kept warm and retired.
+package pooler
+
+import (
+	"slices"
+
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Conn names a connection. Numbers are never used twice in a daemon's life.
+type Conn uint64
+
+const (
+	// warmMinimum is how many idle connections are kept while the server is in
+	// use.
+	warmMinimum = 2
+	// idleLimit is how long a connection beyond the warm ones stays idle.
+	idleLimit timekeeper.Millis = 30_000
+	// backOff is the pause after the server refused or failed a connection.
+	backOff timekeeper.Millis = 100
+	// urgentReserve is the part of the share that only urgent work may use, as
+	// one in so many connections.
+	urgentReserve = 4
+)
+
+// idle is an unused connection with the time it was last used.
+type idle struct {
+	conn  Conn
+	since timekeeper.Millis
+}
+
+// Pool is the set of connections of one daemon to one backend server. It is not
+// safe for concurrent use.
+type Pool struct {
+	next    func() Conn
+	limit   int
+	share   int
+	idle    []idle
+	busy    map[Conn]bool
+	opening map[Conn]bool
+	pause   timekeeper.Millis
+}
+
+// New returns an empty pool. The server takes limit connections in all; next
+// numbers new connections.
+func New(limit int, next func() Conn) *Pool {
+	return &Pool{next: next, limit: limit, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}}
+}
+
+// SetShare sets how many connections this daemon may have; it is kept between 1
+// and the server's limit.
+func (p *Pool) SetShare(share int) {
+	p.share = min(max(share, 1), p.limit)
+}
+
+// Size returns how many connections are open or being opened.
+func (p *Pool) Size() int {
+	return len(p.idle) + len(p.busy) + len(p.opening)
+}
+
+// Busy returns how many connections are in use.
+func (p *Pool) Busy() int {
+	return len(p.busy)
+}
+
+// Ready reports whether Take would return a connection for work of a rank.
+func (p *Pool) Ready(rank scheduler.Rank) bool {
+	return len(p.idle) > 0 && p.allowed(rank)
+}
+
+// allowed keeps the last connections of the share for urgent work.
+func (p *Pool) allowed(rank scheduler.Rank) bool {
+	if rank == scheduler.RankUrgent {
+		return true
+	}
+	return len(p.busy) < max(1, p.share-p.share/urgentReserve)
+}
+
+// Take returns an idle connection for work of a rank, the last used one first.
+func (p *Pool) Take(rank scheduler.Rank) (Conn, bool) {
+	if !p.Ready(rank) {
+		return 0, false
+	}
+	last := len(p.idle) - 1
+	conn := p.idle[last].conn
+	p.idle = p.idle[:last]
+	p.busy[conn] = true
+	return conn, true
+}
+
+// Put gives a connection back after its answer was read whole and no
+// transaction is open on it.
+func (p *Pool) Put(now timekeeper.Millis, conn Conn) {
+	if !p.busy[conn] {
+		return
+	}
+	delete(p.busy, conn)
+	p.idle = append(p.idle, idle{conn: conn, since: now})
+}
+
+// Opened takes a connection that has been opened. It reports whether the
+// connection is wanted.
+func (p *Pool) Opened(now timekeeper.Millis, conn Conn) bool {
+	if !p.opening[conn] {
+		return false
+	}
+	delete(p.opening, conn)
+	p.idle = append(p.idle, idle{conn: conn, since: now})
+	return true
+}
+
+// Lost forgets a connection that was closed or could not be opened.
+func (p *Pool) Lost(now timekeeper.Millis, conn Conn) {
+	if p.opening[conn] {
+		p.pause = now + backOff
+	}
+	delete(p.opening, conn)
+	delete(p.busy, conn)
+	p.idle = slices.DeleteFunc(p.idle, func(i idle) bool { return i.conn == conn })
+}
+
+// Has reports whether the pool knows the connection.
+func (p *Pool) Has(conn Conn) bool {
+	return p.busy[conn] || p.opening[conn] || slices.ContainsFunc(p.idle, func(i idle) bool { return i.conn == conn })
+}
+
+// Retire takes out all idle connections, for closing: the path they use is in
+// doubt.
+func (p *Pool) Retire() []Conn {
+	var out []Conn
+	for _, i := range p.idle {
+		out = append(out, i.conn)
+	}
+	p.idle = nil
+	return out
+}
+
+// Plan returns the connections to open and to close so that demand more pieces
+// of work find one, a few stay warm, and the share is kept.
+func (p *Pool) Plan(now timekeeper.Millis, demand int) (opened, closed []Conn) {
+	closed = p.surplus(now)
+	if now < p.pause {
+		return nil, closed
+	}
+	wanted := max(demand, warmMinimum) - len(p.idle) - len(p.opening)
+	for range min(wanted, p.share-p.Size()) {
+		conn := p.next()
+		p.opening[conn] = true
+		opened = append(opened, conn)
+	}
+	return opened, closed
+}
+
+// surplus takes out idle connections beyond the share or unused for long.
+func (p *Pool) surplus(now timekeeper.Millis) []Conn {
+	var out []Conn
+	for len(p.idle) > 0 {
+		oldest := p.idle[0]
+		over := p.Size() > p.share
+		stale := len(p.idle) > warmMinimum && now-oldest.since > idleLimit
+		if !over && !stale {
+			break
+		}
+		p.idle = p.idle[1:]
+		out = append(out, oldest.conn)
+	}
+	return out
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,400 @@
+// Package runner makes a daemon of the decisions: it carries out their commands
+// over the network and feeds the answers back.
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/heatherhall/heatherhall/classifier"
+	"github.com/heatherhall/heatherhall/configurer"
+	"github.com/heatherhall/heatherhall/connector"
+	"github.com/heatherhall/heatherhall/decider"
+	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/listener"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/promoter"
+	"github.com/heatherhall/heatherhall/relayer"
+	"github.com/heatherhall/heatherhall/sessioner"
+	"github.com/heatherhall/heatherhall/storer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+	"github.com/heatherhall/heatherhall/watcher"
+)
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindStart Kind = "start"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "runner: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// tickInterval is the time between two ticks of the decisions.
+const tickInterval = 20 * time.Millisecond
+
+// Runner is one daemon.
+type Runner struct {
+	settings configurer.Settings
+	clock    timekeeper.Clock
+	log      *observer.Logger
+	metrics  *observer.Metrics
+	platform *storer.Client
+	relayer  *relayer.Relayer
+	listener *listener.Listener
+	targets  map[string]map[string]connector.Target
+
+	// ctx is that of Run; commands are carried out in it.
+	ctx  context.Context
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	node     *decider.Node
+	conns    map[pooler.Conn]*connector.Conn
+	asks     map[string]chan question
+	watchers map[string]chan question
+	requests map[uint64]started
+	lists    planner.Lists
+	ready    bool
+}
+
+// started is when a caller's request began, and its rank.
+type started struct {
+	at   time.Time
+	rank string
+}
+
+// New returns a daemon that listens but does not serve yet. Logs go to out.
+func New(settings configurer.Settings, out io.Writer) (*Runner, error) {
+	secret, err := settings.Secret.Text()
+	if err != nil {
+		return nil, err
+	}
+	signer, err := newSigner(settings)
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{
+		settings: settings,
+		clock:    timekeeper.Real(),
+		log:      observer.NewLogger(out, settings.Log.Level, settings.Host.Name),
+		metrics:  observer.NewMetrics(),
+		platform: storer.New(settings.Platform, hostOf(settings.Host.Peer)),
+		conns:    map[pooler.Conn]*connector.Conn{},
+		asks:     map[string]chan question{},
+		watchers: map[string]chan question{},
+		requests: map[uint64]started{},
+		lists:    planner.Empty(),
+		ctx:      context.Background(),
+	}
+	if r.targets, err = newTargets(settings); err != nil {
+		return nil, err
+	}
+	r.node = decider.New(r.decisions(), decider.Seams{Log: r.decisionLog(), Invariant: r.invariant})
+	r.relayer, err = relayer.New(settings.Host.Name, settings.Host.Peer, []byte(secret), relayer.Handlers{
+		Mailed: r.mailed,
+		Probed: r.probed,
+		Lost:   r.peerLost,
+	})
+	if err != nil {
+		return nil, err
+	}
+	tlsConfig, err := r.tlsConfig()
+	if err != nil {
+		return nil, err
+	}
+	r.listener, err = listener.New(settings.Host.Address, r.listenerDeps(signer, tlsConfig))
+	return r, err
+}
+
+func newSigner(settings configurer.Settings) (*sessioner.Signer, error) {
+	var keys []sessioner.Key
+	for _, token := range settings.Tokens {
+		text, err := token.Secret.Text()
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, sessioner.Key{Name: token.Name, Secret: []byte(text)})
+	}
+	return sessioner.NewSigner(keys, settings.Times.Token)
+}
+
+func newTargets(settings configurer.Settings) (map[string]map[string]connector.Target, error) {
+	password := ""
+	if settings.Backend.Password != nil {
+		text, err := settings.Backend.Password.Text()
+		if err != nil {
+			return nil, err
+		}
+		password = text
+	}
+	targets := map[string]map[string]connector.Target{}
+	for _, d := range settings.Databases {
+		targets[d.Name] = map[string]connector.Target{}
+		for _, s := range d.Servers {
+			targets[d.Name][s.Name] = connector.Target{
+				Address:  s.Address,
+				Database: d.Name,
+				User:     settings.Backend.User,
+				Password: password,
+				Local:    hostOf(settings.Host.Peer),
+			}
+		}
+	}
+	return targets, nil
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+// decisions returns the settings of the daemon's decisions.
+func (r *Runner) decisions() decider.Settings {
+	s := r.settings
+	out := decider.Settings{
+		Self: watcher.Member{
+			Name:        s.Host.Name,
+			Address:     s.Host.Peer,
+			Domain:      s.Host.Domain,
+			Incarnation: int64(r.clock.Now()),
+		},
+		Databases: map[string]dispatcher.Settings{},
+		Promoter:  promoter.DefaultSettings(),
+		Hosts:     watcher.DefaultSettings(),
+		Tail:      500,
+		HostList:  1000,
+	}
+	for _, p := range s.Peers {
+		out.Peers = append(out.Peers, watcher.Member{Name: p.Name, Address: p.Address, Domain: p.Domain})
+	}
+	for _, d := range s.Databases {
+		out.Databases[d.Name] = databaseSettings(s, d)
+	}
+	return out
+}
+
+// farDistance is the expected network time to a server in another failure
+// domain and back, in milliseconds.
+const farDistance = 1.0
+
+func databaseSettings(s configurer.Settings, d configurer.Database) dispatcher.Settings {
+	var servers []dispatcher.Server
+	for _, server := range d.Servers {
+		distance := farDistance
+		if server.Domain == s.Host.Domain {
+			distance = 0
+		}
+		servers = append(servers, dispatcher.Server{
+			Name:        server.Name,
+			Domain:      server.Domain,
+			Slots:       server.Slots,
+			Connections: server.Connections,
+			Distance:    distance,
+		})
+	}
+	out := dispatcher.DefaultSettings(d.Name, servers)
+	out.Classes = s.Classes()
+	out.Hold = s.Times.Hold
+	out.Ack = s.Times.Acknowledge
+	out.Overdue = s.Times.Overdue
+	out.CatchUp = s.Times.Catchup
+	out.Silence = s.Times.Silence
+	if d.Acknowledge == configurer.AcknowledgePrimary {
+		out.Need = 1
+	}
+	return out
+}
+
+func (r *Runner) decisionLog() func(string, ...any) {
+	if !r.settings.Log.Decisions {
+		return nil
+	}
+	return r.log.Infof
+}
+
+// invariant counts and logs a check that failed.
+func (r *Runner) invariant(holds bool, format string, args ...any) {
+	if holds {
+		return
+	}
+	r.metrics.Invariants.Inc()
+	r.log.Errorf("invariant: "+format, args...)
+}
+
+func (r *Runner) listenerDeps(signer *sessioner.Signer, tlsConfig *tls.Config) listener.Deps {
+	return listener.Deps{
+		Submit: r.submit,
+		Step: func(caller uint64, commit bool, payload []byte) {
+			r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Step(now, caller, commit, payload) })
+		},
+		Hangup: func(caller uint64) {
+			r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Hangup(now, caller) })
+		},
+		Cancel:     r.cancel,
+		Lists:      r.currentLists,
+		Ready:      r.Ready,
+		Signer:     signer,
+		Classifier: classifier.New(),
+		Clock:      r.clock,
+		TLS:        tlsConfig,
+		Log:        r.log.Infof,
+		Statement:  r.settings.Times.Statement,
+		Host:       uint16(xxhash.Sum64String(r.settings.Host.Name) & 0xfff),
+	}
+}
+
+// Address returns the address that takes callers.
+func (r *Runner) Address() string {
+	return r.listener.Address()
+}
+
+// Ready reports whether the daemon takes callers.
+func (r *Runner) Ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready
+}
+
+func (r *Runner) currentLists() planner.Lists {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lists
+}
+
+// Metrics returns the daemon's metrics.
+func (r *Runner) Metrics() *observer.Metrics {
+	return r.metrics
+}
+
+// Run serves until stop is closed, then shuts down gracefully: it finishes what
+// is in progress, for as long as the settings allow. It returns nil after a
+// graceful shutdown.
+func (r *Runner) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.ctx = ctx
+	relayed := r.relayer.Run(ctx)
+	listened := r.listener.Run(ctx)
+	status := r.serveStatus(ctx)
+	r.log.Infof("runner: %s in %s takes callers at %s", r.settings.Host.Name, r.settings.Host.Domain, r.Address())
+	r.loop(stop)
+	err := r.drain()
+	cancel()
+	<-listened
+	<-relayed
+	<-status
+	r.wait.Wait()
+	r.platform.Close()
+	r.log.Infof("runner: %s has stopped", r.settings.Host.Name)
+	return err
+}
+
+// loop ticks until stop is closed.
+func (r *Runner) loop(stop <-chan struct{}) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+}
+
+func (r *Runner) tick() {
+	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Tick(now) })
+}
+
+// leaveNotice is how long the daemon goes on taking callers after it has told
+// its peers that it leaves, so that they and the balancer can look elsewhere.
+const leaveNotice = 200 * time.Millisecond
+
+// drain finishes what is in progress.
+func (r *Runner) drain() error {
+	r.log.Infof("drainer: stopping, %d callers are connected", r.listener.Connections())
+	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Drain(now) })
+	deadline := time.Now().Add(r.settings.Times.Drain.Duration())
+	notice := time.Now().Add(leaveNotice)
+	told := false
+	for time.Now().Before(deadline) {
+		r.tick()
+		if !told && time.Now().After(notice) {
+			told = true
+			r.listener.Drain()
+		}
+		if told && r.listener.Connections() == 0 && r.drained() {
+			return nil
+		}
+		time.Sleep(tickInterval)
+	}
+	return &Error{Op: "drain", Kind: KindStart, Err: errors.Errorf("work was still in progress after %d ms", r.settings.Times.Drain)}
+}
+
+func (r *Runner) drained() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Drained()
+}
+
+// do lets the decisions take an input and carries out what they decide.
+func (r *Runner) do(input func(now timekeeper.Millis) []decider.Command) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range input(r.clock.Now()) {
+		r.carryOut(c)
+	}
+	r.lists = r.node.Lists()
+	r.ready = r.node.Ready()
+}
+
+func (r *Runner) submit(request decider.Request) {
+	r.do(func(now timekeeper.Millis) []decider.Command {
+		r.requests[request.Caller] = started{at: time.Now(), rank: request.Rank.String()}
+		return r.node.Submit(now, request)
+	})
+}
+
+func (r *Runner) mailed(from string, m decider.Mail) {
+	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Mailed(now, from, m) })
+}
+
+func (r *Runner) probed(m watcher.Message) {
+	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Probed(now, m) })
+}
+
+func (r *Runner) peerLost(name string) {
+	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.PeerLost(now, name) })
+}
+
+func (r *Runner) cancel(listener.CancelKey) {}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,336 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// debtLimit bounds how far a rank's credit falls while it uses capacity
+	// that no other rank wants, in milliseconds of work.
+	debtLimit = -200.0
+	// creditLimit bounds the credit that a rank saves up, in milliseconds.
+	creditLimit = 400.0
+	// skipLimit bounds how many customers are passed over in one search.
+	skipLimit = 8
+)
+
+// Item is one unit of waiting work.
+type Item struct {
+	ID       string
+	Customer string
+	Rank     Rank
+	Lane     Lane
+	// Cost is the expected service time in milliseconds.
+	Cost float64
+	// Deadline is the time by which the work must have started.
+	Deadline timekeeper.Millis
+	// Limit is how many statements the customer may have running; 0 is any
+	// number.
+	Limit int
+}
+
+// level is the state of one rank.
+type level struct {
+	class   Class
+	credit  float64
+	clock   float64
+	backlog float64
+	count   int
+	flows   map[string]*flow
+	heaps   [lanes]flowHeap
+}
+
+// Queue holds the waiting work of one database. It is not safe for concurrent
+// use.
+type Queue struct {
+	levels   [Ranks]level
+	limit    int
+	capacity float64
+	skipped  []*flow
+}
+
+// New returns an empty queue that holds at most limit items.
+func New(classes Classes, limit int) *Queue {
+	q := &Queue{limit: limit, capacity: 1}
+	for i := range q.levels {
+		q.levels[i] = level{class: classes[i], flows: map[string]*flow{}}
+		for lane := range q.levels[i].heaps {
+			q.levels[i].heaps[lane].lane = Lane(lane)
+		}
+	}
+	return q
+}
+
+// SetCapacity tells how many items can run at once; waits are estimated from
+// it.
+func (q *Queue) SetCapacity(slots int) {
+	q.capacity = max(1, float64(slots))
+}
+
+// Len returns the number of waiting items of a rank.
+func (q *Queue) Len(rank Rank) int {
+	return q.levels[rank].count
+}
+
+// Total returns the number of waiting items.
+func (q *Queue) Total() int {
+	total := 0
+	for i := range q.levels {
+		total += q.levels[i].count
+	}
+	return total
+}
+
+// Push adds an item. It refuses work that is expected to start after its
+// deadline, with the time after which a retry makes sense.
+func (q *Queue) Push(now timekeeper.Millis, item Item) error {
+	l := &q.levels[item.Rank]
+	f := l.flow(item.Customer)
+	f.limit = item.Limit
+	wait := q.estimate(item, f)
+	start := now + timekeeper.Millis(wait)
+	if start > item.Deadline {
+		l.forget(f)
+		return overload(start-item.Deadline, fmt.Sprintf("expected to start %d ms after the deadline", start-item.Deadline))
+	}
+	if q.Total() >= q.limit {
+		l.forget(f)
+		return overload(l.class.Target, fmt.Sprintf("%d items are waiting", q.limit))
+	}
+	if f.empty() {
+		f.tag = max(f.tag, l.clock)
+	}
+	f.waiting[item.Lane].push(item)
+	f.backlog += item.Cost
+	l.backlog += item.Cost
+	l.count++
+	l.heaps[item.Lane].settle(f)
+	return nil
+}
+
+func overload(retry timekeeper.Millis, text string) error {
+	return &Error{Op: "push", Kind: KindOverload, Text: text, RetryAfter: max(retry, 1)}
+}
+
+// estimate returns the expected wait of a new item in milliseconds: the least
+// of what the work ahead, the rank's guaranteed share and the customer's own
+// backlog say.
+func (q *Queue) estimate(item Item, f *flow) float64 {
+	ahead := 0.0
+	for rank := range item.Rank + 1 {
+		ahead += q.levels[rank].backlog
+	}
+	below := 0
+	for rank := item.Rank + 1; rank < Ranks; rank++ {
+		if q.levels[rank].count > 0 {
+			below += q.levels[rank].class.Share
+		}
+	}
+	l := &q.levels[item.Rank]
+	wait := ahead / (q.capacity * float64(100-below) / 100)
+	rate := q.capacity * float64(l.class.Share) / 100
+	if rate > 0 {
+		wait = min(wait, l.backlog/rate)
+	}
+	active := max(l.heaps[LanePrimary].Len(), l.heaps[LaneAny].Len(), 1)
+	if l.backlog > 0 {
+		wait = min(wait, wait*f.backlog*float64(active)/l.backlog)
+	}
+	return wait
+}
+
+// Pop takes out the item that goes next among those in the given lanes that
+// fit.
+func (q *Queue) Pop(open [2]bool, fits func(Item) bool) (Item, bool) {
+	favoured := q.favoured(open)
+	if favoured != Ranks {
+		if item, found := q.take(favoured, open, fits); found {
+			return item, true
+		}
+	}
+	for rank := range Rank(Ranks) {
+		if rank == favoured || q.levels[rank].count == 0 {
+			continue
+		}
+		if item, found := q.take(rank, open, fits); found {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
+// favoured returns the rank below the most urgent one that has saved up enough
+// credit to go first, or Ranks.
+func (q *Queue) favoured(open [2]bool) Rank {
+	best := Rank(Ranks)
+	for rank := Rank(1); rank < Ranks; rank++ {
+		l := &q.levels[rank]
+		if !l.ready(open) || l.credit < l.backlog/float64(max(l.count, 1)) {
+			continue
+		}
+		if best == Ranks || l.credit > q.levels[best].credit {
+			best = rank
+		}
+	}
+	return best
+}
+
+func (l *level) ready(open [2]bool) bool {
+	return open[LanePrimary] && l.heaps[LanePrimary].Len() > 0 || open[LaneAny] && l.heaps[LaneAny].Len() > 0
+}
+
+// take removes the next fitting item of a rank.
+func (q *Queue) take(rank Rank, open [2]bool, fits func(Item) bool) (Item, bool) {
+	l := &q.levels[rank]
+	defer q.restore(l)
+	for range skipLimit {
+		f, lane := l.first(open)
+		if f == nil {
+			return Item{}, false
+		}
+		if !fits(f.waiting[lane].peek()) {
+			l.heaps[lane].remove(f)
+			q.skipped = append(q.skipped, f)
+			continue
+		}
+		item := f.waiting[lane].pop()
+		q.charge(l, f, item)
+		return item, true
+	}
+	return Item{}, false
+}
+
+// first returns the flow with the lowest tag in the open lanes.
+func (l *level) first(open [2]bool) (*flow, Lane) {
+	var best *flow
+	lane := LanePrimary
+	for i := range l.heaps {
+		if !open[i] || l.heaps[i].Len() == 0 {
+			continue
+		}
+		if f := l.heaps[i].flows[0]; best == nil || f.tag < best.tag {
+			best = f
+			lane = Lane(i)
+		}
+	}
+	return best, lane
+}
+
+// restore puts the flows that were passed over back.
+func (q *Queue) restore(l *level) {
+	for _, f := range q.skipped {
+		for i := range l.heaps {
+			l.heaps[i].settle(f)
+		}
+	}
+	q.skipped = q.skipped[:0]
+}
+
+// charge accounts for a started item: its customer's tag moves on, its rank
+// pays the cost, and ranks with waiting work save up their shares of it.
+func (q *Queue) charge(l *level, f *flow, item Item) {
+	l.clock = max(l.clock, f.tag)
+	f.tag += item.Cost
+	f.running++
+	l.unqueue(f, item)
+	for i := range q.levels {
+		other := &q.levels[i]
+		if other.count > 0 || other == l {
+			other.credit = min(creditLimit, other.credit+item.Cost*float64(other.class.Share)/100)
+		}
+	}
+	l.credit = max(debtLimit, l.credit-item.Cost)
+	for i := range l.heaps {
+		l.heaps[i].settle(f)
+	}
+}
+
+func (l *level) unqueue(f *flow, item Item) {
+	l.count--
+	l.backlog -= item.Cost
+	f.backlog -= item.Cost
+	if l.count == 0 {
+		l.backlog = 0
+	}
+}
+
+// Done tells that a started item has ended, after the given service time in
+// milliseconds.
+func (q *Queue) Done(item Item, took float64) {
+	l := &q.levels[item.Rank]
+	f := l.flows[item.Customer]
+	if f == nil {
+		return
+	}
+	f.running--
+	f.tag += took - item.Cost
+	l.credit = min(creditLimit, max(debtLimit, l.credit+item.Cost-took))
+	for i := range l.heaps {
+		l.heaps[i].settle(f)
+	}
+	l.forget(f)
+}
+
+// Expire takes out the items whose deadline has passed.
+func (q *Queue) Expire(now timekeeper.Millis) []Item {
+	return q.remove(func(item Item) bool { return item.Deadline < now })
+}
+
+// Remove takes out the item with the given id.
+func (q *Queue) Remove(id string) bool {
+	return len(q.remove(func(item Item) bool { return item.ID == id })) > 0
+}
+
+// Drain takes out all items.
+func (q *Queue) Drain() []Item {
+	return q.remove(func(Item) bool { return true })
+}
+
+func (q *Queue) remove(match func(Item) bool) []Item {
+	var out []Item
+	for i := range q.levels {
+		l := &q.levels[i]
+		if l.count == 0 {
+			continue
+		}
+		for _, f := range l.flows {
+			out = append(out, l.removeFrom(f, match)...)
+		}
+	}
+	sortItems(out)
+	return out
+}
+
+func (l *level) removeFrom(f *flow, match func(Item) bool) []Item {
+	var out []Item
+	for lane := range f.waiting {
+		gone := f.waiting[lane].removeIf(match)
+		for _, item := range gone {
+			l.unqueue(f, item)
+		}
+		l.heaps[lane].settle(f)
+		out = append(out, gone...)
+	}
+	l.forget(f)
+	return out
+}
+
+func (l *level) flow(customer string) *flow {
+	f := l.flows[customer]
+	if f == nil {
+		f = newFlow(customer)
+		f.tag = l.clock
+		l.flows[customer] = f
+	}
+	return f
+}
+
+// forget drops a flow that has neither waiting nor running work and no debt
+// towards the other customers.
+func (l *level) forget(f *flow) {
+	if f.empty() && f.running == 0 && f.tag <= l.clock {
+		delete(l.flows, f.customer)
+	}
+}
--- /dev/null
+++ b/scripts_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/heatherhall/heatherhall/faker"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"heatherhall": main,
+		"heatherhall-fake": func() {
+			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer cancel()
+			if err := faker.Program().Run(ctx, os.Args); err != nil {
+				_, _ = fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+		},
+	})
+}
+
+// TestScripts runs each scenario of testscripts/ against separate processes on
+// loopback addresses of its own.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                "testscripts",
+		RequireUniqueNames: true,
+		Setup: func(env *testscript.Env) error {
+			env.Values[fleetKey{}] = newFleet(env)
+			env.Setenv("PGPASSWORD", password)
+			env.Setenv("HEATHERHALL_PASSWORD", password)
+			env.Setenv("HEATHERHALL_PLATFORM", fleetOf(env.Values).platform())
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":  cmdFleet,
+			"send":   cmdSend,
+			"sql":    cmdSQL,
+			"fault":  cmdFault,
+			"outage": cmdOutage,
+			"hosts":  cmdHosts,
+			"within": cmdWithin,
+			"load":   cmdLoad,
+		},
+	})
+}
+
+// cmdFleet starts the stand-ins and daemons: fleet.
+func cmdFleet(ts *testscript.TestScript, _ bool, _ []string) {
+	ts.Check(scriptFleet(ts).start(ts))
+}
+
+// cmdSend sends a signal to a process: send TERM h1. After TERM it waits for the
+// process and checks that it exits with 0.
+func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	ts.Check(scriptFleet(ts).signal(args[1], signals[args[0]]))
+}
+
+// cmdSQL runs a statement as a caller of a daemon: sql [-as CUSTOMER] [-token]
+// HOST DATABASE SQL. With -token it carries the token of the last such call
+// along. It prints the values, or the SQLSTATE and message.
+func cmdSQL(ts *testscript.TestScript, neg bool, args []string) {
+	out, err := scriptFleet(ts).sql(args)
+	_, _ = fmt.Fprint(ts.Stdout(), out)
+	if err != nil {
+		_, _ = fmt.Fprintln(ts.Stderr(), errorText(err))
+	}
+	switch {
+	case err != nil && !neg:
+		ts.Fatalf("%s", errorText(err))
+	case err == nil && neg:
+		ts.Fatalf("the statement succeeded")
+	}
+}
+
+// cmdWithin repeats a statement until its output holds a text: within 10s TEXT
+// sql HOST DATABASE SQL.
+func cmdWithin(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	deadline := time.Now().Add(limit)
+	for {
+		out, err := scriptFleet(ts).sql(args[3:])
+		if err != nil {
+			out = errorText(err)
+		}
+		if strings.Contains(out, args[1]) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("want %q within %s, last: %s", args[1], limit, out)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// cmdFault changes a condition of a backend server: fault SERVER NAME=VALUE.
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(scriptFleet(ts).fault(args[0], args[1]))
+}
+
+// cmdOutage changes the platform's conditions: outage JSON.
+func cmdOutage(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(scriptFleet(ts).put("/fault", args[0]))
+}
+
+// cmdHosts replaces the platform's list of hosts: hosts JSON.
+func cmdHosts(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(scriptFleet(ts).put("/hosts", args[0]))
+}
+
+// sql runs one statement over a new connection.
+func (f *fleet) sql(args []string) (string, error) {
+	customer := "coop"
+	token := false
+	for strings.HasPrefix(args[0], "-") {
+		if args[0] == "-as" {
+			customer = args[1]
+			args = args[1:]
+		} else {
+			token = true
+		}
+		args = args[1:]
+	}
+	conn, err := f.connect(customer, args[0], args[1], token)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close(context.Background()) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	results, err := conn.PgConn().Exec(ctx, args[2]).ReadAll()
+	if token {
+		f.token = conn.PgConn().ParameterStatus("heatherhall.session")
+	}
+	return formatResults(results), err
+}
+
+func (f *fleet) connect(customer, host, database string, token bool) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", customer, password, f.callers(host), database))
+	if err != nil {
+		return nil, err
+	}
+	if token && f.token != "" {
+		config.RuntimeParams["heatherhall.session"] = f.token
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+func formatResults(results []*pgconn.Result) string {
+	var b strings.Builder
+	for _, result := range results {
+		for _, row := range result.Rows {
+			for i, value := range row {
+				if i > 0 {
+					b.WriteByte('|')
+				}
+				b.Write(value)
+			}
+			b.WriteByte('\n')
+		}
+		if len(result.Rows) == 0 {
+			b.WriteString(result.CommandTag.String() + "\n")
+		}
+	}
+	return b.String()
+}
+
+func errorText(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code + " " + e.Message + " " + e.Detail + " " + e.Hint
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/sequencer/history_test.go
@@ -0,0 +1,99 @@
+package sequencer_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+)
+
+func pos(term, offset int64) sequencer.Position {
+	return sequencer.Position{Term: term, Offset: offset}
+}
+
+// TestAbandonedTerm follows the trace in which start offsets alone give the
+// wrong answer: term 2 began after (1, 4) and wrote (2, 5), which no majority
+// held; term 3 was then promoted from a log of term 1 that ends at (1, 5).
+func TestAbandonedTerm(t *testing.T) {
+	first := sequencer.History{{Term: 1, Start: 0}}
+	second := first.With(2, 4)
+	third := first.With(3, 5)
+	tests := map[string]struct {
+		history sequencer.History
+		at      sequencer.Position
+		want    bool
+	}{
+		"entry of the abandoned term":            {third, pos(2, 5), false},
+		"entry under the abandoned one's offset": {third, pos(1, 5), true},
+		"tail that term 2 cut off":               {second, pos(1, 5), false},
+		"entry before both":                      {second, pos(1, 4), true},
+		"first entry of the new term":            {third, pos(3, 6), true},
+		"offset below the term's start":          {third, pos(3, 5), false},
+		"zero":                                   {third, pos(0, 0), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := test.history.Contains(test.at); got != test.want {
+				t.Errorf("Contains(%v) in %v: got %v, want %v", test.at, test.history, got, test.want)
+			}
+		})
+	}
+}
+
+func TestClamp(t *testing.T) {
+	third := sequencer.History{{Term: 1, Start: 0}}.With(3, 5)
+	tests := map[string]struct {
+		floor, want sequencer.Position
+	}{
+		"lost tail of the abandoned term": {pos(2, 7), pos(1, 5)},
+		"lost tail of an old term":        {pos(1, 9), pos(1, 5)},
+		"surviving entry":                 {pos(1, 3), pos(1, 3)},
+		"entry of the newest term":        {pos(3, 9), pos(3, 9)},
+		"entry of a term not yet known":   {pos(4, 9), pos(4, 9)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := third.Clamp(test.floor); got != test.want {
+				t.Errorf("Clamp(%v): got %v, want %v", test.floor, got, test.want)
+			}
+		})
+	}
+}
+
+func TestCovers(t *testing.T) {
+	third := sequencer.History{{Term: 1, Start: 0}}.With(3, 5)
+	tests := map[string]struct {
+		at, floor sequencer.Position
+		want      bool
+	}{
+		"same term, later":             {pos(2, 6), pos(2, 5), true},
+		"same term, earlier":           {pos(2, 4), pos(2, 5), false},
+		"new term, surviving floor":    {pos(3, 6), pos(1, 5), true},
+		"new term, lost floor":         {pos(3, 9), pos(2, 5), false},
+		"old primary with a lost tail": {pos(1, 8), pos(3, 6), false},
+		"old replica, older floor":     {pos(1, 5), pos(1, 4), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := third.Covers(test.at, test.floor); got != test.want {
+				t.Errorf("Covers(%v, %v): got %v, want %v", test.at, test.floor, got, test.want)
+			}
+		})
+	}
+}
+
+func TestReportRefused(t *testing.T) {
+	tests := map[string]string{
+		"unknown role":       `{"role":"king"}`,
+		"applied after held": `{"role":"replica","held":{"term":1,"offset":2},"applied":{"term":1,"offset":3}}`,
+		"falling terms":      `{"role":"replica","history":[{"term":2,"start":0},{"term":1,"start":3}]}`,
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r sequencer.Report
+			if err := json.Unmarshal([]byte(text), &r); err == nil {
+				t.Errorf("accepted %s", text)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/sessioner/session.go
@@ -0,0 +1,45 @@
+// Package sessioner keeps what a caller's session must see again: a floor for
+// each database, which travels with the caller as a signed token.
+package sessioner
+
+import (
+	"maps"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+)
+
+// Session is a caller's session. Values are immutable; With methods return
+// changed copies.
+type Session struct {
+	floors map[string]sequencer.Position
+	// known says that floors holds all that the session wrote and read. A
+	// session without a token may have written through another daemon.
+	known bool
+}
+
+// New returns the session of a caller that gave no token: its floors are not
+// known.
+func New() Session {
+	return Session{}
+}
+
+// Floor returns the floor in a database and whether it is known.
+func (s Session) Floor(database string) (sequencer.Position, bool) {
+	floor, found := s.floors[database]
+	return floor, found || s.known
+}
+
+// WithFloor returns a session that must see position in database from now on.
+// Floors never go down.
+func (s Session) WithFloor(database string, position sequencer.Position) Session {
+	present, found := s.floors[database]
+	if found && !present.Before(position) {
+		return s
+	}
+	floors := maps.Clone(s.floors)
+	if floors == nil {
+		floors = map[string]sequencer.Position{}
+	}
+	floors[database] = position
+	return Session{floors: floors, known: s.known}
+}
--- /dev/null
+++ b/storer/client.go
@@ -0,0 +1,210 @@
+// Package storer is the client of the platform's service: its table, its object
+// store and its list of hosts.
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindDown: no answer; a write may have taken effect.
+	KindDown Kind = "down"
+	// KindMissing: there is no such record or object.
+	KindMissing Kind = "missing"
+	// KindConflict: the record is of another version.
+	KindConflict Kind = "conflict"
+	// KindInvalid: the answer can't be read.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "storer: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Is reports whether err is an error of this package of a kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
+
+const (
+	requestTimeout = 2 * time.Second
+	bodyLimit      = 64 << 20
+)
+
+// Record is a row of the table service.
+type Record struct {
+	Key     string          `json:"key"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at an address, connecting from the local
+// IP number if one is given.
+func New(address, local string) *Client {
+	dialer := &net.Dialer{Timeout: requestTimeout}
+	if local != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(local)}
+	}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// call sends a request and returns the status and body of its answer.
+func (c *Client) call(ctx context.Context, op, method, path string, query url.Values, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+query.Encode(), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, &Error{Op: op, Kind: KindDown, Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, bodyLimit))
+	if err != nil {
+		return 0, nil, &Error{Op: op, Kind: KindDown, Err: err}
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusConflict:
+		return response.StatusCode, data, nil
+	case http.StatusNotFound:
+		return 0, nil, &Error{Op: op, Kind: KindMissing, Err: errors.New("not found")}
+	case http.StatusBadRequest:
+		return 0, nil, &Error{Op: op, Kind: KindInvalid, Err: errors.New(string(data))}
+	}
+	return 0, nil, &Error{Op: op, Kind: KindDown, Err: errors.New(response.Status)}
+}
+
+func decode(op string, data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return &Error{Op: op, Kind: KindInvalid, Err: err}
+	}
+	return nil
+}
+
+// Get returns a record.
+func (c *Client) Get(ctx context.Context, key string) (Record, error) {
+	var record Record
+	_, data, err := c.call(ctx, "get", http.MethodGet, "/table", url.Values{"key": {key}}, nil)
+	if err != nil {
+		return record, err
+	}
+	err = decode("get", data, &record)
+	return record, err
+}
+
+// List returns up to limit records whose keys begin with prefix and sort after
+// the key after.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Record, error) {
+	var page struct {
+		Records []Record `json:"records"`
+	}
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	_, data, err := c.call(ctx, "list", http.MethodGet, "/table", query, nil)
+	if err != nil {
+		return nil, err
+	}
+	err = decode("list", data, &page)
+	return page.Records, err
+}
+
+// Put writes a record if the one in the table has the expected version; 0
+// expects none. A conflict returns the record in the table with an error of
+// KindConflict. After KindDown the write may have taken effect.
+func (c *Client) Put(ctx context.Context, key string, expected int64, value any) (Record, error) {
+	var record Record
+	body, err := json.Marshal(value)
+	if err != nil {
+		return record, &Error{Op: "put", Kind: KindInvalid, Err: err}
+	}
+	query := url.Values{"key": {key}, "version": {strconv.FormatInt(expected, 10)}}
+	status, data, err := c.call(ctx, "put", http.MethodPut, "/table", query, body)
+	if err != nil {
+		return record, err
+	}
+	if err := decode("put", data, &record); err != nil {
+		return record, err
+	}
+	if status == http.StatusConflict {
+		return record, &Error{Op: "put", Kind: KindConflict, Err: errors.Errorf("%s is at version %d", key, record.Version)}
+	}
+	return record, nil
+}
+
+// PutObject writes an object.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	_, _, err := c.call(ctx, "put object", http.MethodPut, "/object", url.Values{"name": {name}}, data)
+	return err
+}
+
+// Object returns an object.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
+	_, data, err := c.call(ctx, "object", http.MethodGet, "/object", url.Values{"name": {name}}, nil)
+	return data, err
+}
+
+// Host is an entry of the platform's list of hosts.
+type Host struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	// Role is "entry" for heatherhall's own hosts or "backend" for backend
+	// servers.
+	Role string `json:"role"`
+	// Database is the database of a backend server.
+	Database string `json:"database,omitempty"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// Hosts returns the platform's list of hosts, which lags.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var list struct {
+		Hosts []Host `json:"hosts"`
+	}
+	_, data, err := c.call(ctx, "hosts", http.MethodGet, "/hosts", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	err = decode("hosts", data, &list)
+	return list.Hosts, err
+}
