--- a/decider/entry.go
+++ b/decider/entry.go
@@ -68,7 +68,7 @@
 		Key:      r.Key,
 		Digest:   r.Digest,
 		Floor:    floor,
-		Barrier:  !sure,
+		Barrier:  !sure && (r.MaxAge == 0 || r.Session.Roams()),
 		MaxAge:   limitAge(r.MaxAge, plan),
 		Within:   within,
 		Limit:    plan.Statements,
--- /dev/null
+++ b/decider/random_test.go
@@ -0,0 +1,324 @@
+package decider_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/heatherhall/heatherhall/decider"
+	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/sessioner"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+var (
+	schedules = flag.Int("schedules", 300, "number of random schedules")
+	firstSeed = flag.Int64("seed", 1, "seed of the first schedule")
+	trace     = flag.Bool("trace", false, "print the decisions of each schedule")
+)
+
+// caller is a session that roams between daemons, writes and reads.
+type caller struct {
+	world   *world
+	id      int
+	session sessioner.Session
+	number  int
+	// floor holds the ids that the session must see; seen those it has read.
+	floor map[string]bool
+}
+
+// history is what all callers know.
+type history struct {
+	acked   map[string]bool
+	refused map[string]bool
+	unkeyed map[string]bool
+	pending map[uint64]func(dispatcher.Outcome)
+	next    uint64
+	reads   int
+	replica int
+}
+
+// newCallers starts callers that work until the given time.
+func newCallers(w *world, count int, until timekeeper.Millis) *history {
+	h := &history{
+		acked: map[string]bool{}, refused: map[string]bool{}, unkeyed: map[string]bool{},
+		pending: map[uint64]func(dispatcher.Outcome){},
+	}
+	for _, name := range w.names {
+		w.daemons[name].reply = func(r decider.Reply) {
+			if done := h.pending[r.Caller]; done != nil {
+				delete(h.pending, r.Caller)
+				w.after(1, func() { done(r.Outcome) })
+			}
+		}
+	}
+	for i := range count {
+		c := &caller{world: w, id: i, session: sessioner.New(), floor: map[string]bool{}}
+		w.after(timekeeper.Millis(1000+w.rand.Intn(200)), func() { c.next(h, until) })
+	}
+	return h
+}
+
+// next starts the caller's next piece of work, through any daemon.
+func (c *caller) next(h *history, until timekeeper.Millis) {
+	w := c.world
+	if w.now >= until {
+		return
+	}
+	c.number++
+	id := fmt.Sprintf("c%d-%d", c.id, c.number)
+	d := w.daemons[w.names[w.rand.Intn(len(w.names))]]
+	if w.rand.Intn(20) == 0 {
+		// The caller roams without its token.
+		c.session = sessioner.Roaming()
+	}
+	again := func() { w.after(timekeeper.Millis(w.rand.Intn(60)), func() { c.next(h, until) }) }
+	switch w.rand.Intn(8) {
+	case 0, 1, 2:
+		c.submit(h, d, decider.Request{Write: true, Key: id, Digest: id, Rank: scheduler.RankUrgent}, batch{Op: "write", ID: id}, func(o dispatcher.Outcome) {
+			c.wrote(h, id, o)
+			again()
+		})
+	case 3:
+		h.unkeyed[id] = true
+		c.submit(h, d, decider.Request{Write: true}, batch{Op: "write", ID: id}, func(o dispatcher.Outcome) {
+			c.wrote(h, id, o)
+			again()
+		})
+	case 4:
+		c.transaction(h, d, id, again)
+	default:
+		c.read(h, d, again)
+	}
+}
+
+// submit gives a request to a daemon. A caller whose daemon dies is told
+// nothing; it goes on after a time.
+func (c *caller) submit(h *history, d *daemon, r decider.Request, b batch, done func(dispatcher.Outcome)) uint64 {
+	w := c.world
+	h.next++
+	r.Caller = h.next
+	r.Customer = "coop"
+	r.Database = worldDatabase
+	r.Session = c.session
+	r.Within = 8000
+	r.Payload = b.encode()
+	c.await(h, r.Caller, done)
+	w.atPlace(d.name, func() {
+		w.input(d, func(now timekeeper.Millis) []decider.Command { return d.node.Submit(now, r) })
+	})
+	return r.Caller
+}
+
+func (c *caller) await(h *history, number uint64, done func(dispatcher.Outcome)) {
+	h.pending[number] = done
+	c.world.after(20_000, func() {
+		if h.pending[number] != nil {
+			delete(h.pending, number)
+			done(dispatcher.Outcome{Class: dispatcher.ClassUnknown})
+		}
+	})
+}
+
+func (c *caller) wrote(h *history, id string, o dispatcher.Outcome) {
+	switch {
+	case o.Class == dispatcher.ClassDone && (o.Code == "" || o.Code == dispatcher.CodeRepeated):
+		h.acked[id] = true
+		c.floor[id] = true
+		c.session = c.session.WithFloor(worldDatabase, o.Position)
+	case o.Class == dispatcher.ClassRefused:
+		h.refused[id] = true
+	}
+}
+
+func (c *caller) read(h *history, d *daemon, again func()) {
+	age := timekeeper.Millis(0)
+	if c.world.rand.Intn(3) == 0 {
+		age = 2000
+	}
+	must := map[string]bool{}
+	for id := range c.floor {
+		must[id] = true
+	}
+	c.submit(h, d, decider.Request{Rank: scheduler.RankBrowse, MaxAge: age}, batch{Op: "read"}, func(o dispatcher.Outcome) {
+		defer again()
+		if o.Class != dispatcher.ClassDone {
+			return
+		}
+		h.reads++
+		if o.Replica {
+			h.replica++
+		}
+		c.session = c.session.WithFloor(worldDatabase, o.Position)
+		got := map[string]bool{}
+		for _, id := range strings.Split(string(o.Payload), ",") {
+			got[id] = true
+		}
+		for id := range must {
+			if !got[id] {
+				c.world.failf("caller %d read from %s at %v without its own write %s", c.id, o.Server, o.Position, id)
+			}
+		}
+	})
+}
+
+// transaction begins, writes and commits with a key.
+func (c *caller) transaction(h *history, d *daemon, id string, again func()) {
+	w := c.world
+	var number uint64
+	step := func(b batch, commit bool, done func(dispatcher.Outcome)) {
+		c.await(h, number, done)
+		w.atPlace(d.name, func() {
+			w.input(d, func(now timekeeper.Millis) []decider.Command { return d.node.Step(now, number, commit, b.encode()) })
+		})
+	}
+	number = c.submit(h, d, decider.Request{Begin: true, Key: id, Digest: "begin"}, batch{Op: "begin"}, func(o dispatcher.Outcome) {
+		if !o.Open() {
+			if o.Code == dispatcher.CodeRepeated {
+				w.failf("transaction %s was told it had committed before it wrote", id)
+			}
+			again()
+			return
+		}
+		step(batch{Op: "write", ID: id}, false, func(o dispatcher.Outcome) {
+			if !o.Open() {
+				again()
+				return
+			}
+			step(batch{Op: "commit"}, true, func(o dispatcher.Outcome) {
+				c.wrote(h, id, o)
+				again()
+			})
+		})
+	})
+}
+
+// check compares what callers know with the log that survived.
+func (h *history) check(w *world) {
+	primary := w.servers[w.order[0]]
+	for _, name := range w.order {
+		s := w.servers[name]
+		r := s.log.Report()
+		if r.Role == sequencer.RolePrimary && r.History.Term() > primary.log.Report().History.Term() {
+			primary = s
+		}
+	}
+	rows := primary.rows("t", primary.log.Held().Offset)
+	for id := range h.acked {
+		if rows[id] == 0 {
+			w.failf("%s was acknowledged and is lost", id)
+		}
+	}
+	for id := range h.refused {
+		if rows[id] > 0 {
+			w.failf("%s was refused as not run and ran", id)
+		}
+	}
+	for id, count := range rows {
+		if count > 1 {
+			w.failf("%s ran %d times", id, count)
+		}
+	}
+}
+
+// fault does one random harm to the world and heals it after a time.
+func (w *world) fault() {
+	duration := timekeeper.Millis(200 + w.rand.Intn(4000))
+	server := w.servers[w.order[w.rand.Intn(len(w.order))]]
+	host := w.names[w.rand.Intn(len(w.names))]
+	domain := worldDomains[w.rand.Intn(len(worldDomains))]
+	heal := func(act func()) { w.after(duration, act) }
+	switch w.rand.Intn(9) {
+	case 0:
+		w.log("%d fault: %s freezes for %d", w.now, server.name, duration)
+		w.frozen[server.name] = true
+		heal(func() { delete(w.frozen, server.name) })
+	case 1:
+		w.log("%d fault: %s freezes for %d", w.now, host, duration)
+		w.frozen[host] = true
+		heal(func() { delete(w.frozen, host) })
+	case 2:
+		w.log("%d fault: %s is cut off for %d", w.now, domain, duration)
+		w.cuts[domain] = true
+		heal(func() { delete(w.cuts, domain) })
+	case 3:
+		pair := host + "|" + server.name
+		w.log("%d fault: %s is cut for %d", w.now, pair, duration)
+		w.cuts[pair] = true
+		heal(func() { delete(w.cuts, pair) })
+	case 4:
+		w.log("%d fault: %s is restarted", w.now, host)
+		delete(w.frozen, host)
+		w.startDaemon(host, w.daemons[host].domain)
+	case 5:
+		w.log("%d fault: the platform is down for %d", w.now, duration)
+		w.down = true
+		heal(func() { w.down = false })
+	case 6:
+		w.log("%d fault: connections of %s go silent", w.now, server.name)
+		for _, c := range server.conns {
+			c.silent = true
+		}
+	case 7:
+		w.log("%d fault: the platform loses answers", w.now)
+		w.lose += 2
+	case 8:
+		w.log("%d fault: %s lags by %d", w.now, server.name, duration)
+		server.lag = duration
+		heal(func() { server.lag = 10 })
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.cuts = map[string]bool{}
+	w.frozen = map[string]bool{}
+	w.down = false
+	w.lose = 0
+	for _, s := range w.servers {
+		s.lag = 10
+	}
+}
+
+// runSchedule runs one random schedule and returns what went wrong.
+func runSchedule(seed int64, log func(string, ...any)) (*world, *history) {
+	w := newWorld(seed, log)
+	end := w.now + 12_000
+	h := newCallers(w, 6, end)
+	for range 1 + w.rand.Intn(5) {
+		w.after(timekeeper.Millis(1500+w.rand.Intn(9000)), w.fault)
+	}
+	w.run(12_000)
+	w.heal()
+	w.run(25_000)
+	h.check(w)
+	return w, h
+}
+
+// TestRandomSchedules runs callers against random faults and checks that
+// nothing acknowledged is lost, nothing runs twice, nothing refused ran, and
+// every session reads its own writes.
+func TestRandomSchedules(t *testing.T) {
+	acked, reads, replica := 0, 0, 0
+	for i := range int64(*schedules) {
+		seed := *firstSeed + i
+		log := func(string, ...any) {}
+		if *trace {
+			log = t.Logf
+		}
+		w, h := runSchedule(seed, log)
+		for _, failure := range w.failures {
+			t.Errorf("seed %d: %s", seed, failure)
+		}
+		acked += len(h.acked)
+		reads += h.reads
+		replica += h.replica
+		if len(h.acked) == 0 {
+			t.Errorf("seed %d: nothing was acknowledged", seed)
+		}
+	}
+	t.Logf("%d schedules, %d writes acknowledged, %d reads, %d of them on replicas", *schedules, acked, reads, replica)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -143,10 +143,10 @@
 func (d *Dispatcher) resolveFloor(now timekeeper.Millis, j *job) bool {
 	if j.work.MaxAge > 0 {
 		floor, known := d.age.Floor(now, j.work.MaxAge)
-		if known {
-			j.floor = sequencer.Max(j.work.Floor, floor)
+		if !known {
+			return false
 		}
-		return known
+		j.floor = sequencer.Max(j.floor, floor)
 	}
 	return !j.work.Barrier
 }
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -125,16 +125,15 @@
 }
 
 func (d *Dispatcher) wakeBarrier(now timekeeper.Millis, j *job) {
-	if j.work.MaxAge > 0 {
-		if d.resolveFloor(now, j) {
-			d.unpark(now, j)
+	if j.work.Barrier {
+		floor, known := d.age.Barrier(j.barrier)
+		if !known {
+			return
 		}
-		return
-	}
-	floor, known := d.age.Barrier(j.barrier)
-	if known {
 		j.floor = sequencer.Max(j.floor, floor)
 		j.work.Barrier = false
+	}
+	if d.resolveFloor(now, j) {
 		d.unpark(now, j)
 	}
 }
--- a/listener/answer.go
+++ b/listener/answer.go
@@ -8,7 +8,6 @@
 
 	"github.com/heatherhall/heatherhall/classifier"
 	"github.com/heatherhall/heatherhall/dispatcher"
-	"github.com/heatherhall/heatherhall/sessioner"
 )
 
 // answer sends an outcome to the caller.
@@ -163,10 +162,6 @@
 		return &Error{Op: "set", Kind: KindDenied, Code: "0A000", Text: "SET " + set.Name + " can't be kept by pooled connections and is refused, use SET LOCAL in a transaction"}
 	}
 	if name == "session" {
-		if set.Value == "" {
-			c.session = sessioner.New()
-			return nil
-		}
 		return c.takeToken(set.Value)
 	}
 	if name == "request" {
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -209,7 +209,6 @@
 // openSession takes the session from the token that the caller gave, if any, as
 // a startup parameter or among its options.
 func (c *client) openSession(parameters map[string]string) *Error {
-	c.session = sessioner.New()
 	token := parameters[sessionParameter]
 	for _, option := range strings.Fields(parameters["options"]) {
 		option = strings.TrimPrefix(strings.TrimPrefix(option, "-c"), "--")
@@ -217,13 +216,20 @@
 			token = value
 		}
 	}
-	if token == "" {
-		return nil
-	}
 	return c.takeToken(token)
 }
 
+// takeToken opens the session that a token, or only a name, stands for. Names
+// have no dots.
 func (c *client) takeToken(token string) *Error {
+	switch {
+	case token == "":
+		c.session = sessioner.New()
+		return nil
+	case !strings.Contains(token, "."):
+		c.session = sessioner.Roaming()
+		return nil
+	}
 	session, err := c.listener.deps.Signer.Session(c.listener.deps.Clock.Now(), c.customer, token)
 	if err != nil {
 		return &Error{Op: "token", Kind: KindDenied, Code: codeToken, Text: err.Error()}
--- a/sessioner/session.go
+++ b/sessioner/session.go
@@ -15,14 +15,28 @@
 	// known says that floors holds all that the session wrote and read. A
 	// session without a token may have written through another daemon.
 	known bool
+	// roaming says that the caller named a session it has used elsewhere, but
+	// gave no token.
+	roaming bool
 }
 
-// New returns the session of a caller that gave no token: its floors are not
-// known.
+// New returns the session of a caller that gave neither a token nor a name. It
+// has written nothing as far as it says, yet its floors count as not known.
 func New() Session {
 	return Session{}
 }
 
+// Roaming returns the session of a caller that gave its name only: it may have
+// written through any daemon.
+func Roaming() Session {
+	return Session{roaming: true}
+}
+
+// Roams reports whether the caller gave a name only.
+func (s Session) Roams() bool {
+	return s.roaming
+}
+
 // Floor returns the floor in a database and whether it is known.
 func (s Session) Floor(database string) (sequencer.Position, bool) {
 	floor, found := s.floors[database]
@@ -41,5 +55,5 @@
 		floors = map[string]sequencer.Position{}
 	}
 	floors[database] = position
-	return Session{floors: floors, known: s.known}
+	return Session{floors: floors, known: s.known, roaming: s.roaming}
 }
