Add the experiment tool, baselines and cancel requests; account lanes apart

Cause: under an urgent flood (3x) browse reads that replicas could run were refused (329 of 2539) and standard work got 24% of all slots' credit: waits and credits were summed over work for the primary and work for any server. Ruled out: connection shortage (idle connections were never at 0 in the log). Change: scheduler accounts backlog and credit for each rank and lane; bench runs experiments over real connections against an emulation or given daemons; baselines fifo, strict, static, primary and unacknowledged; callers' cancel requests reach the daemon they name; a connection on which a cancel may still arrive is closed, not reused. Preemption of browse reads as an option, off.

--- /dev/null
+++ b/commander/bench.go
@@ -0,0 +1,102 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/heatherhall/heatherhall/loader"
+)
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "bench",
+		Usage:     "run an experiment and print its table, or compare two saved runs",
+		ArgsUsage: "FILE, or OLD NEW with --compare",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "policy", Usage: "run under a `BASELINE`: fifo, strict, static, primary or unacknowledged"},
+			&cli.StringFlag{Name: "save", Usage: "write the report as JSON to `FILE`"},
+			&cli.StringFlag{Name: "plot", Usage: "write the throughput over time to `FILE`, .svg or .png"},
+			&cli.StringFlag{Name: "log", Usage: "write the daemons' logs to `FILE`"},
+			&cli.StringSliceFlag{Name: "target", Usage: "load the daemon at `IP:PORT` instead of an emulation; may be repeated"},
+			&cli.BoolFlag{Name: "compare", Usage: "set two saved reports side by side"},
+			&cli.BoolFlag{Name: "preempt", Usage: "cancel running browse reads for waiting urgent work"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("compare") {
+				return compareReports(c)
+			}
+			return runExperiment(ctx, c)
+		},
+	}
+}
+
+func compareReports(c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return &Error{Op: "bench", Kind: KindUsage, Err: errors.New("--compare wants two saved reports, OLD and NEW")}
+	}
+	before, err := loader.Load(c.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	after, err := loader.Load(c.Args().Get(1))
+	if err != nil {
+		return err
+	}
+	return loader.Compare(c.Root().Writer, before, after)
+}
+
+func runExperiment(ctx context.Context, c *cli.Command) error {
+	path, err := onlyArgument(c, "bench", "FILE")
+	if err != nil {
+		return err
+	}
+	x, err := loader.Read(path)
+	if err != nil {
+		return err
+	}
+	if c.IsSet("policy") {
+		x.Policy = c.String("policy")
+	}
+	x.Preempt = x.Preempt || c.Bool("preempt")
+	x.Targets = append(x.Targets, c.StringSlice("target")...)
+	log := io.Discard
+	if name := c.String("log"); name != "" {
+		file, err := os.Create(name)
+		if err != nil {
+			return &Error{Op: "bench", Kind: KindUsage, Err: err}
+		}
+		defer func() { _ = file.Close() }()
+		log = file
+	}
+	report, err := loader.Run(ctx, x, log)
+	if err != nil {
+		return err
+	}
+	return publish(c, report)
+}
+
+// publish prints a report and writes the files asked for.
+func publish(c *cli.Command, report loader.Report) error {
+	if err := report.Print(c.Root().Writer); err != nil {
+		return err
+	}
+	if name := c.String("save"); name != "" {
+		if err := report.Save(name); err != nil {
+			return err
+		}
+	}
+	name := c.String("plot")
+	if name == "" {
+		return nil
+	}
+	if err := report.Plot(name); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(c.Root().Writer, "plot written to %s\n", name)
+	return err
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -58,6 +58,7 @@
 			checkCommand(),
 			listsCommand(),
 			statusCommand(),
+			benchCommand(),
 			versionCommand(),
 		},
 	}
@@ -87,7 +88,7 @@
 			if err != nil {
 				return err
 			}
-			daemon, err := runner.New(settings, c.Root().ErrWriter)
+			daemon, err := runner.New(settings, c.Root().ErrWriter, nil)
 			if err != nil {
 				return err
 			}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -34,6 +34,7 @@
 	conn     net.Conn
 	frontend *pgproto3.Frontend
 	pid      uint32
+	secret   []byte
 	work     chan dispatcher.Exec
 	answers  chan collected
 	key      deduplicator.Key
@@ -78,6 +79,7 @@
 		conn:     hijacked.Conn,
 		frontend: hijacked.Frontend,
 		pid:      hijacked.PID,
+		secret:   hijacked.SecretKey,
 		work:     make(chan dispatcher.Exec, 1),
 		answers:  make(chan collected, 1),
 	}
@@ -90,6 +92,25 @@
 	return c.pid
 }
 
+// Cancel asks the server to cancel the statement that runs. It takes effect or
+// not; the answer tells.
+func (c *Conn) Cancel(ctx context.Context) {
+	request, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.conn.RemoteAddr().String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Write(request)
+	// The server closes the connection once it has taken the request.
+	_ = conn.SetReadDeadline(time.Now().Add(dialTimeout))
+	_, _ = conn.Read(make([]byte, 1))
+}
+
 // Close closes the connection; Run then ends.
 func (c *Conn) Close() {
 	_ = c.conn.Close()
--- a/decider/command.go
+++ b/decider/command.go
@@ -71,6 +71,10 @@
 	After int64
 }
 
+// CancelCaller cancels what a caller of this daemon waits for, if the secret is
+// the caller's.
+type CancelCaller KeyMail
+
 // ReadHosts reads the platform's list of hosts.
 type ReadHosts struct{}
 
@@ -81,6 +85,7 @@
 	Step    *StepMail           `json:"step,omitempty"`
 	Outcome *dispatcher.Outcome `json:"outcome,omitempty"`
 	Cancel  *CancelMail         `json:"cancel,omitempty"`
+	Key     *KeyMail            `json:"key,omitempty"`
 	Fetch   *FetchMail          `json:"fetch,omitempty"`
 	Lists   *planner.File       `json:"lists,omitempty"`
 }
@@ -96,6 +101,15 @@
 type CancelMail struct {
 	Database string `json:"database"`
 	ID       string `json:"id"`
+	// Statement cancels the statement only; its caller is still there.
+	Statement bool `json:"statement,omitempty"`
+}
+
+// KeyMail is a cancel request on its way to the daemon whose caller it names.
+type KeyMail struct {
+	Host   uint16 `json:"host"`
+	Caller uint64 `json:"caller"`
+	Secret uint32 `json:"secret"`
 }
 
 // FetchMail asks for lists newer than a version.
@@ -146,6 +160,9 @@
 	Hosts     watcher.Settings
 	// Tail is the time between two reads of the lists' tail.
 	Tail timekeeper.Millis
+	// Static makes each daemon the home of all databases, as a baseline for
+	// measurements.
+	Static bool
 	// HostList is the time between two reads of the platform's list of hosts.
 	HostList timekeeper.Millis
 }
--- a/decider/entry.go
+++ b/decider/entry.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherhall/heatherhall/dispatcher"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/scheduler"
@@ -113,12 +115,17 @@
 	return &dispatcher.Outcome{Class: dispatcher.ClassRefused, Code: code, Text: text, Retry: retry, Status: "I"}
 }
 
+// homeOf returns the host that is the home of a database.
+func (n *Node) homeOf(database string) string {
+	if n.settings.Static {
+		return n.settings.Self.Name
+	}
+	return n.hosts.Home(database)
+}
+
 // send gives work to the home of its database.
 func (n *Node) send(now timekeeper.Millis, p *pending) {
-	p.home = n.hosts.Home(p.work.Database)
-	if n.draining && p.home == n.settings.Self.Name {
-		p.home = n.settings.Self.Name
-	}
+	p.home = n.homeOf(p.work.Database)
 	if p.home == n.settings.Self.Name {
 		h := n.open(now, p.work.Database)
 		n.serverCommands(now, h, h.dispatcher.Submit(now, p.work))
@@ -182,6 +189,46 @@
 	return n.take()
 }
 
+// Cancel cancels what a caller waits for.
+func (n *Node) Cancel(now timekeeper.Millis, caller uint64) []Command {
+	p := n.pending[n.callers[caller]]
+	if p == nil || !p.waits {
+		return nil
+	}
+	if p.home == n.settings.Self.Name {
+		return n.withHome(now, p.work.Database, func(h *home) []dispatcher.Command {
+			return h.dispatcher.CancelStatement(now, p.work.ID)
+		})
+	}
+	if to, known := n.hosts.Member(p.home); known {
+		n.emit(ToPeer{To: to, Mail: Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID, Statement: true}}})
+	}
+	return n.take()
+}
+
+// HostNumber returns the number of a host in cancel keys. Two hosts may share a
+// number; a key then reaches both, and its secret tells whose it is.
+func HostNumber(name string) uint16 {
+	return uint16(xxhash.Sum64String(name) & hostNumberMask)
+}
+
+const hostNumberMask = 1<<12 - 1
+
+// CancelKey takes a cancel request, which callers may send to any daemon, and
+// passes it on to the daemon whose caller it names.
+func (n *Node) CancelKey(key KeyMail) []Command {
+	for _, m := range n.hosts.Members() {
+		switch {
+		case HostNumber(m.Name) != key.Host:
+		case m.Name == n.settings.Self.Name:
+			n.emit(CancelCaller(key))
+		default:
+			n.emit(ToPeer{To: m, Mail: Mail{Key: &key}})
+		}
+	}
+	return n.take()
+}
+
 func (n *Node) drop(p *pending) {
 	delete(n.pending, p.work.ID)
 	if n.callers[p.caller] == p.work.ID {
--- a/decider/node.go
+++ b/decider/node.go
@@ -132,7 +132,7 @@
 // and lets each do what is due.
 func (n *Node) tickHomes(now timekeeper.Millis) {
 	for _, name := range slices.Sorted(maps.Keys(n.settings.Databases)) {
-		mine := n.hosts.Home(name) == n.settings.Self.Name && !n.draining
+		mine := n.homeOf(name) == n.settings.Self.Name && !n.draining
 		h := n.homes[name]
 		if h == nil {
 			if !mine {
--- a/decider/peer.go
+++ b/decider/peer.go
@@ -18,8 +18,15 @@
 		n.settle(now, *m.Outcome)
 	case m.Cancel != nil:
 		return n.withHome(now, m.Cancel.Database, func(h *home) []dispatcher.Command {
+			if m.Cancel.Statement {
+				return h.dispatcher.CancelStatement(now, m.Cancel.ID)
+			}
 			return h.dispatcher.Cancel(now, m.Cancel.ID)
 		})
+	case m.Key != nil:
+		if m.Key.Host == HostNumber(n.settings.Self.Name) {
+			n.emit(CancelCaller(*m.Key))
+		}
 	case m.Fetch != nil:
 		n.sendLists(from, m.Fetch.After)
 	case m.Lists != nil:
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -43,7 +43,8 @@
 		}
 	}
 	switch {
-	case a.Reply != ReplyDone:
+	case a.Reply != ReplyDone, j.cancelling && a.Status == "I":
+		j.cancelling = false
 		d.drop(now, a.Conn)
 	case a.Status == "I":
 		delete(d.conns, a.Conn)
@@ -78,6 +79,10 @@
 		outcome.Code = CodeReused
 		outcome.Payload = nil
 		d.finish(j, outcome)
+	case j.preempted && a.Code == CodeCancelled:
+		j.preempted = false
+		j.attempts--
+		d.place(now, j)
 	case a.Code == codeReadOnly && a.Status == "I" && !j.opened:
 		d.logf("router: %s says it is not the primary, %s goes back into the queue", j.server.Name, j.work.ID)
 		d.ask(now, j.server)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -188,7 +188,11 @@
 		Deadline: d.deadline(now, j),
 		Limit:    j.work.Limit,
 	}
-	d.queue.SetCapacity(d.capacity(now, j.item.Lane))
+	if d.settings.Fifo {
+		j.item.Rank = scheduler.RankUrgent
+		j.item.Customer = ""
+	}
+	d.queue.SetCapacity(j.item.Lane, d.capacity(now, j.item.Lane))
 	if err := d.queue.Push(now, j.item); err != nil {
 		d.refuse(j, CodeOverload, err.Error(), retryAfter(err))
 	}
@@ -219,7 +223,8 @@
 	return d.primary != nil && d.primary.usable(now, d.settings.Silence)
 }
 
-// capacity returns how many pieces of work can run at once in a lane.
+// capacity returns how many pieces of work can run at once in a lane. A primary
+// that has work of its own waiting does not count for the other lane.
 func (d *Dispatcher) capacity(now timekeeper.Millis, lane scheduler.Lane) int {
 	if lane == scheduler.LanePrimary {
 		if d.primary == nil {
@@ -227,9 +232,10 @@
 		}
 		return d.primary.slots(now)
 	}
+	busy := d.queue.Waiting(scheduler.LanePrimary) > 0
 	total := 0
 	for _, s := range d.servers {
-		if s.usable(now, d.settings.Silence) {
+		if s.usable(now, d.settings.Silence) && (s != d.primary || !busy) {
 			total += s.slots(now)
 		}
 	}
@@ -285,6 +291,7 @@
 		}
 		d.start(now, d.jobs[item.ID], d.choose(now, item))
 	}
+	d.preempt()
 	d.connect(now)
 }
 
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -44,6 +44,11 @@
 	attempts int
 	// doubtful says that an earlier attempt may have run.
 	doubtful bool
+	// preempted says that the statement was cancelled for more urgent work.
+	preempted bool
+	// cancelling says that the server was asked to cancel. The request may
+	// arrive late, so the connection is not used again.
+	cancelling bool
 	// step is the number of the transaction's present step; 0 is its beginning.
 	step    int
 	commit  bool
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -41,6 +41,11 @@
 	Idle [scheduler.Ranks]timekeeper.Millis
 	// Silence is how long a server may be silent before it gets no new work.
 	Silence timekeeper.Millis
+	// Fifo serves all work in the order of its arrival, as a baseline for
+	// measurements.
+	Fifo bool
+	// Preempt cancels running browse reads for urgent work that waits.
+	Preempt bool
 	// Primary makes all reads go to the primary, as a baseline for
 	// measurements.
 	Primary bool
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -59,3 +60,57 @@
 	d.pump(now)
 	return d.take()
 }
+
+// CodeCancelled is the SQLSTATE of a statement that was cancelled.
+const CodeCancelled = "57014"
+
+// CancelStatement cancels what a caller waits for. Work that has not started is
+// refused as not run; of work that runs, the server decides.
+func (d *Dispatcher) CancelStatement(now timekeeper.Millis, id string) []Command {
+	j := d.jobs[id]
+	if j == nil {
+		return nil
+	}
+	switch j.phase {
+	case phaseQueued:
+		d.queue.Remove(id)
+		d.refuse(j, CodeCancelled, "the statement was cancelled before it ran", 0)
+	case phaseBarrier, phaseParked:
+		d.refuse(j, CodeCancelled, "the statement was cancelled before it ran", 0)
+	case phaseRunning:
+		d.cancel(j)
+	}
+	d.pump(now)
+	return d.take()
+}
+
+// cancel asks the server to cancel running work.
+func (d *Dispatcher) cancel(j *job) {
+	j.cancelling = true
+	d.emit(CancelExec{Conn: j.conn})
+}
+
+// preempt cancels one running browse read on the primary for urgent work that
+// waits for it. The read runs again later.
+func (d *Dispatcher) preempt() {
+	if !d.settings.Preempt || d.primary == nil || d.queue.Waiting(scheduler.LanePrimary) == 0 || d.queue.Len(scheduler.RankUrgent) == 0 {
+		return
+	}
+	var latest *job
+	for _, j := range d.conns {
+		if j.server != d.primary || j.phase != phaseRunning || j.work.Rank != scheduler.RankBrowse || j.work.lane() != scheduler.LaneAny {
+			continue
+		}
+		if j.preempted {
+			return
+		}
+		if latest == nil || j.sent > latest.sent || j.sent == latest.sent && j.work.ID > latest.work.ID {
+			latest = j
+		}
+	}
+	if latest != nil {
+		latest.preempted = true
+		d.logf("scheduler: %s cancels %s on %s for urgent work", d.settings.Database, latest.work.ID, d.primary.Name)
+		d.cancel(latest)
+	}
+}
--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -201,6 +201,11 @@
 	Conn   pooler.Conn
 }
 
+// CancelExec asks a server to cancel the statement that runs on a connection.
+type CancelExec struct {
+	Conn pooler.Conn
+}
+
 // Finish hands an outcome to the entry that took the work.
 type Finish struct {
 	Entry   string
--- /dev/null
+++ b/emulator/emulator.go
@@ -0,0 +1,370 @@
+// Package emulator runs stand-ins and daemons together in one process, on
+// loopback addresses: what the demo and the experiments run against.
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/heatherhall/heatherhall/configurer"
+	"github.com/heatherhall/heatherhall/faker"
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/runner"
+	"github.com/heatherhall/heatherhall/storer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindStart   Kind = "start"
+	KindUnknown Kind = "unknown"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "emulator: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Size is the size of a deployment.
+type Size struct {
+	Domains     []string          `json:"domains"`
+	Daemons     int               `json:"daemons"`
+	Databases   int               `json:"databases"`
+	Slots       int               `json:"slots"`
+	Connections int               `json:"connections"`
+	Connect     timekeeper.Millis `json:"connect"`
+	Service     timekeeper.Millis `json:"service"`
+	Ship        timekeeper.Millis `json:"ship"`
+	Lag         timekeeper.Millis `json:"lag"`
+}
+
+// servers is the number of backend servers of each database.
+const servers = 3
+
+// Coop returns the size of the co-op's deployment.
+func Coop() Size {
+	return Size{
+		Domains: []string{"north", "south", "west"}, Daemons: 4, Databases: 3,
+		Slots: 2, Connections: 16, Connect: 12, Service: 1, Ship: 1, Lag: 5,
+	}
+}
+
+// Naidu returns the size of Naidu & Sons' deployment.
+func Naidu() Size {
+	return Size{
+		Domains: []string{"north", "east", "south", "west"}, Daemons: 4, Databases: 3,
+		Slots: 5, Connections: 50, Connect: 12, Service: 1, Ship: 1, Lag: 5,
+	}
+}
+
+// Options are the seams of an emulation.
+type Options struct {
+	// Network is the second number of the loopback addresses; emulations that
+	// run side by side need different ones.
+	Network int
+	// Log takes the daemons' logs.
+	Log io.Writer
+	// Decisions logs routing and placement decisions.
+	Decisions bool
+	// Lists are the operators' lists to begin with.
+	Lists planner.File
+	// Tune changes the daemons' decisions, for baselines.
+	Tune runner.Tune
+}
+
+// Daemon is a running daemon.
+type Daemon struct {
+	Name    string
+	Address string
+	Runner  *runner.Runner
+	stop    chan struct{}
+	done    chan error
+}
+
+// Emulation is a running deployment.
+type Emulation struct {
+	Platform *faker.Platform
+	Backends map[string]*faker.Backend
+	Daemons  []*Daemon
+	Client   *storer.Client
+
+	size     Size
+	options  Options
+	dir      string
+	cancel   context.CancelFunc
+	ends     []<-chan struct{}
+	backends map[string]context.CancelFunc
+}
+
+// New starts a deployment and waits until its daemons are ready.
+func New(ctx context.Context, size Size, options Options) (*Emulation, error) {
+	dir, err := os.MkdirTemp("", "heatherhall")
+	if err != nil {
+		return nil, &Error{Op: "start", Kind: KindStart, Err: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Emulation{
+		Backends: map[string]*faker.Backend{},
+		size:     size,
+		options:  options,
+		dir:      dir,
+		cancel:   cancel,
+		backends: map[string]context.CancelFunc{},
+	}
+	if err := e.start(ctx); err != nil {
+		e.Stop()
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Emulation) ip(group, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", e.options.Network, group, number)
+}
+
+func (e *Emulation) start(ctx context.Context) error {
+	platform, err := faker.NewPlatform(e.ip(1, 100) + ":7000")
+	if err != nil {
+		return err
+	}
+	e.Platform = platform
+	e.ends = append(e.ends, platform.Run(ctx))
+	for d := range e.size.Databases {
+		for i := range servers {
+			if err := e.startBackend(ctx, d, i); err != nil {
+				return err
+			}
+		}
+	}
+	e.Client = storer.New(platform.Address(), "")
+	if err := e.applyLists(ctx); err != nil {
+		return err
+	}
+	for i := range e.size.Daemons {
+		if err := e.startDaemon(i); err != nil {
+			return err
+		}
+	}
+	return e.awaitReady(ctx)
+}
+
+// ServerName returns the name of a database's server.
+func ServerName(database, number int) string {
+	return fmt.Sprintf("db%d-%d", database, number)
+}
+
+func (e *Emulation) serverAddress(database, number int) string {
+	return e.ip(2+database, 11+number) + ":5432"
+}
+
+func (e *Emulation) startBackend(ctx context.Context, database, number int) error {
+	settings := faker.BackendSettings{
+		Name:        ServerName(database, number),
+		Address:     e.serverAddress(database, number),
+		Slots:       e.size.Slots,
+		Connections: e.size.Connections,
+		Connect:     e.size.Connect,
+		Service:     e.size.Service,
+		Ship:        e.size.Ship,
+		Lag:         e.size.Lag,
+	}
+	if number > 0 {
+		settings.Primary = e.serverAddress(database, 0)
+	}
+	backend, err := faker.NewBackend(settings)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	e.Backends[settings.Name] = backend
+	e.backends[settings.Name] = cancel
+	e.ends = append(e.ends, backend.Run(ctx))
+	return nil
+}
+
+func (e *Emulation) applyLists(ctx context.Context) error {
+	wanted, err := e.options.Lists.Lists()
+	if err != nil {
+		return err
+	}
+	_, err = e.Client.Apply(ctx, planner.Empty(), planner.Empty().Diff("first", "emulator", wanted))
+	return err
+}
+
+func (e *Emulation) startDaemon(number int) error {
+	settings, err := e.settings(number)
+	if err != nil {
+		return err
+	}
+	r, err := runner.New(settings, e.options.Log, e.options.Tune)
+	if err != nil {
+		return err
+	}
+	d := &Daemon{
+		Name:    settings.Host.Name,
+		Address: r.Address(),
+		Runner:  r,
+		stop:    make(chan struct{}),
+		done:    make(chan error, 1),
+	}
+	e.Daemons = append(e.Daemons, d)
+	go func() { d.done <- r.Run(d.stop) }()
+	return nil
+}
+
+// settings returns a daemon's settings, as it would read them from a file.
+func (e *Emulation) settings(number int) (configurer.Settings, error) {
+	secret := filepath.Join(e.dir, "secret")
+	if err := os.WriteFile(secret, []byte("the secret of an emulation"), 0o600); err != nil {
+		return configurer.Settings{}, &Error{Op: "settings", Kind: KindStart, Err: err}
+	}
+	s := configurer.Default()
+	s.Log.Decisions = e.options.Decisions
+	s.Platform = e.Platform.Address()
+	s.Secret.File = secret
+	s.Tokens = []configurer.TokenKey{{Name: "first", Secret: configurer.Secret{File: secret}}}
+	for i := range e.size.Daemons {
+		peer := configurer.Peer{
+			Name:    fmt.Sprintf("h%d", i+1),
+			Domain:  e.size.Domains[i%len(e.size.Domains)],
+			Address: e.ip(1, i+1) + ":7100",
+		}
+		s.Peers = append(s.Peers, peer)
+	}
+	self := s.Peers[number]
+	s.Host = configurer.Host{
+		Name:    self.Name,
+		Domain:  self.Domain,
+		Address: e.ip(1, number+1) + ":6432",
+		Peer:    self.Address,
+		Metrics: e.ip(1, number+1) + ":9100",
+	}
+	for d := range e.size.Databases {
+		s.Databases = append(s.Databases, e.database(d))
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return s, &Error{Op: "settings", Kind: KindStart, Err: err}
+	}
+	return configurer.Parse(data)
+}
+
+func (e *Emulation) database(number int) configurer.Database {
+	database := configurer.Database{Name: fmt.Sprintf("db%d", number)}
+	for i := range servers {
+		database.Servers = append(database.Servers, configurer.Server{
+			Name:        ServerName(number, i),
+			Domain:      e.size.Domains[i%len(e.size.Domains)],
+			Address:     e.serverAddress(number, i),
+			Slots:       e.size.Slots,
+			Connections: e.size.Connections,
+		})
+	}
+	return database
+}
+
+// readyLimit bounds the start of the daemons.
+const readyLimit = 15 * time.Second
+
+func (e *Emulation) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyLimit)
+	for _, d := range e.Daemons {
+		for !d.Runner.Ready() {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return &Error{Op: "start", Kind: KindStart, Err: errors.Errorf("%s is not ready", d.Name)}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// KillServer stops a backend server without notice.
+func (e *Emulation) KillServer(name string) error {
+	cancel := e.backends[name]
+	if cancel == nil {
+		return &Error{Op: "kill", Kind: KindUnknown, Err: errors.Errorf("there is no server %q", name)}
+	}
+	cancel()
+	return nil
+}
+
+// Fault changes a condition of a backend server, as name=value.
+func (e *Emulation) Fault(name, change string) error {
+	backend := e.Backends[name]
+	if backend == nil {
+		return &Error{Op: "fault", Kind: KindUnknown, Err: errors.Errorf("there is no server %q", name)}
+	}
+	return backend.Fault(change)
+}
+
+// SetHosts replaces the platform's list of hosts.
+func (e *Emulation) SetHosts(ctx context.Context, body string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+e.Platform.Address()+"/hosts", strings.NewReader(body))
+	if err != nil {
+		return &Error{Op: "hosts", Kind: KindStart, Err: err}
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return &Error{Op: "hosts", Kind: KindStart, Err: err}
+	}
+	return response.Body.Close()
+}
+
+// StopDaemon shuts a daemon down gracefully and returns its error.
+func (e *Emulation) StopDaemon(d *Daemon) error {
+	select {
+	case <-d.stop:
+	default:
+		close(d.stop)
+	}
+	err := <-d.done
+	d.done <- err
+	return err
+}
+
+// Stop ends the deployment.
+func (e *Emulation) Stop() {
+	stopped := make(chan struct{}, len(e.Daemons))
+	for _, d := range e.Daemons {
+		go func() {
+			_ = e.StopDaemon(d)
+			stopped <- struct{}{}
+		}()
+	}
+	for range e.Daemons {
+		<-stopped
+	}
+	e.cancel()
+	for _, end := range e.ends {
+		<-end
+	}
+	if e.Client != nil {
+		e.Client.Close()
+	}
+	_ = os.RemoveAll(e.dir)
+}
--- a/faker/faults.go
+++ b/faker/faults.go
@@ -97,3 +97,13 @@
 	defer f.mu.Unlock()
 	return f.ship, f.lag, f.stall
 }
+
+// Fault changes a condition of the server, as name=value; silence=on makes all
+// present connections go silent.
+func (b *Backend) Fault(change string) error {
+	if change == "silence=on" {
+		b.silence(nil)
+		return nil
+	}
+	return b.faults.set(change)
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -46,9 +46,9 @@
 	Submit func(decider.Request)
 	Step   func(caller uint64, commit bool, payload []byte)
 	Hangup func(caller uint64)
-	// Cancel cancels what a caller waits for. Key names the caller's daemon and
+	// Cancel takes a cancel request. Its key names the caller's daemon and
 	// connection.
-	Cancel     func(key CancelKey)
+	Cancel     func(key decider.KeyMail)
 	Lists      func() planner.Lists
 	Ready      func() bool
 	Signer     *sessioner.Signer
@@ -192,15 +192,8 @@
 	}
 }
 
-// CancelKey names a caller's connection for a cancel request.
-type CancelKey struct {
-	Host   uint16
-	Caller uint64
-	Secret uint32
-}
-
 // Cancels reports whether a cancel key names a caller of this listener.
-func (l *Listener) Cancels(key CancelKey) bool {
+func (l *Listener) Cancels(key decider.KeyMail) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.clients[key.Caller]
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/sessioner"
 )
@@ -80,7 +81,7 @@
 	if len(m.SecretKey) != 4 {
 		return
 	}
-	c.listener.deps.Cancel(CancelKey{
+	c.listener.deps.Cancel(decider.KeyMail{
 		Host:   uint16(m.ProcessID >> callerBits),
 		Caller: uint64(m.ProcessID & (1<<callerBits - 1)),
 		Secret: binary.BigEndian.Uint32(m.SecretKey),
--- /dev/null
+++ b/loader/policy.go
@@ -0,0 +1,47 @@
+package loader
+
+import (
+	"github.com/heatherhall/heatherhall/decider"
+	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/scheduler"
+)
+
+// policies are the baselines that the daemons' own policy is compared with.
+var policies = map[string]func(*decider.Settings){
+	"": func(*decider.Settings) {},
+	// fifo serves all work in the order of its arrival.
+	"fifo": eachDatabase(func(d *dispatcher.Settings, _ int) { d.Fifo = true }),
+	// strict serves a rank only when no higher one waits.
+	"strict": eachDatabase(func(d *dispatcher.Settings, _ int) {
+		for rank := range d.Classes {
+			d.Classes[rank].Share = 0
+		}
+		d.Classes[scheduler.RankUrgent].Share = 100
+	}),
+	// static gives each daemon an equal part of each server's slots and
+	// connections.
+	"static": func(s *decider.Settings) {
+		s.Static = true
+		eachDatabase(func(d *dispatcher.Settings, daemons int) {
+			for i := range d.Servers {
+				d.Servers[i].Slots = max(1, d.Servers[i].Slots/daemons)
+				d.Servers[i].Connections = max(1, d.Servers[i].Connections/daemons)
+			}
+		})(s)
+	},
+	// primary sends all reads to the primary.
+	"primary": eachDatabase(func(d *dispatcher.Settings, _ int) { d.Primary = true }),
+	// unacknowledged answers writes on the primary's commit alone.
+	"unacknowledged": eachDatabase(func(d *dispatcher.Settings, _ int) { d.Need = 1 }),
+}
+
+// eachDatabase returns a policy that changes the settings of each database,
+// given the number of daemons.
+func eachDatabase(change func(d *dispatcher.Settings, daemons int)) func(*decider.Settings) {
+	return func(s *decider.Settings) {
+		for name, d := range s.Databases {
+			change(&d, len(s.Peers))
+			s.Databases[name] = d
+		}
+	}
+}
--- /dev/null
+++ b/loader/report.go
@@ -0,0 +1,175 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Report is what an experiment measured.
+type Report struct {
+	Name    string         `json:"name"`
+	Policy  string         `json:"policy,omitempty"`
+	Seconds float64        `json:"seconds"`
+	Streams []StreamReport `json:"streams"`
+	// Reads is the number of reads answered, and Replica the part of them that
+	// replicas answered.
+	Reads   float64 `json:"reads"`
+	Replica float64 `json:"replica"`
+}
+
+// StreamReport is what a stream measured. Times are in milliseconds.
+type StreamReport struct {
+	Name string `json:"name"`
+	Counts
+	Rate    float64        `json:"rate"`
+	P50     float64        `json:"p50"`
+	P99     float64        `json:"p99"`
+	Max     float64        `json:"max"`
+	Refusal float64        `json:"refusal"`
+	Gap     float64        `json:"gap"`
+	Codes   map[string]int `json:"codes,omitempty"`
+	// Slices are the numbers of requests done in each tenth of a second.
+	Slices []int `json:"slices"`
+}
+
+func (r *run) report() Report {
+	out := Report{
+		Name:    r.experiment.Name,
+		Policy:  r.experiment.Policy,
+		Seconds: r.experiment.Run.Duration().Seconds(),
+	}
+	replica, all := r.replicaReads()
+	out.Reads = all
+	if all > 0 {
+		out.Replica = replica / all
+	}
+	for _, s := range r.streams {
+		out.Streams = append(out.Streams, s.report(out.Seconds))
+	}
+	return out
+}
+
+func (s *stream) report(seconds float64) StreamReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StreamReport{
+		Name:    s.Name,
+		Counts:  s.counts,
+		Rate:    float64(s.counts.Done) / seconds,
+		P50:     quantile(s.done, 50),
+		P99:     quantile(s.done, 99),
+		Max:     float64(s.done.Max()) / 1000,
+		Refusal: quantile(s.refused, 50),
+		Gap:     float64(s.gap) / float64(time.Millisecond),
+		Codes:   s.failures,
+		Slices:  s.slices,
+	}
+}
+
+// quantile returns a histogram's quantile in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// Print writes the report as a table.
+func (r Report) Print(out io.Writer) error {
+	policy := r.Policy
+	if policy == "" {
+		policy = "heatherhall"
+	}
+	_, _ = fmt.Fprintf(out, "%s, policy %s, %.0f s; reads on replicas %.1f%% of %.0f\n", r.Name, policy, r.Seconds, r.Replica*100, r.Reads)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "stream\toffered\tdone\tgood\trefused\tunknown\tfailed\tdone/s\tp50 ms\tp99 ms\tmax ms\trefusal ms\tgap ms\t")
+	for _, s := range r.Streams {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.2f\t%.2f\t%.1f\t%.2f\t%.0f\t\n",
+			s.Name, s.Offered, s.Done, s.Good, s.Refused, s.Unknown, s.Failed, s.Rate, s.P50, s.P99, s.Max, s.Refusal, s.Gap)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, s := range r.Streams {
+		if len(s.Codes) > 0 {
+			_, _ = fmt.Fprintf(out, "%s not done: %v\n", s.Name, s.Codes)
+		}
+	}
+	return nil
+}
+
+// Save writes the report as JSON.
+func (r Report) Save(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return &Error{Op: "save", Kind: KindRun, Err: err}
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return &Error{Op: "save", Kind: KindRun, Err: err}
+	}
+	return nil
+}
+
+// Load reads a saved report.
+func Load(path string) (Report, error) {
+	var r Report
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return r, &Error{Op: "load", Kind: KindInvalid, Err: err}
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, &Error{Op: "load " + path, Kind: KindInvalid, Err: err}
+	}
+	return r, nil
+}
+
+// Compare writes two reports' streams of the same names side by side.
+func Compare(out io.Writer, before, after Report) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintf(w, "stream\tdone/s\tthen\tgood\tthen\trefused\tthen\tp50 ms\tthen\tp99 ms\tthen\t\n")
+	for _, a := range before.Streams {
+		for _, b := range after.Streams {
+			if a.Name != b.Name {
+				continue
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
+				a.Name, a.Rate, b.Rate, a.Good, b.Good, a.Refused, b.Refused, a.P50, b.P50, a.P99, b.P99)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "reads on replicas\t%.1f%%\t%.1f%%\t\t\t\t\t\t\t\t\t\n", before.Replica*100, after.Replica*100)
+	return w.Flush()
+}
+
+// Plot writes the streams' throughput over time as an SVG or PNG image.
+func (r Report) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = r.Name
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "requests done per second"
+	p.Legend.Top = true
+	var lines []any
+	for _, s := range r.Streams {
+		points := make(plotter.XYs, 0, len(s.Slices))
+		for i, count := range s.Slices {
+			points = append(points, plotter.XY{
+				X: float64(i) * sliceLength.Seconds(),
+				Y: float64(count) / sliceLength.Seconds(),
+			})
+		}
+		lines = append(lines, s.Name, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return &Error{Op: "plot", Kind: KindRun, Err: err}
+	}
+	if err := p.Save(8*vg.Inch, 4*vg.Inch, path); err != nil {
+		return &Error{Op: "plot", Kind: KindRun, Err: err}
+	}
+	return nil
+}
--- a/runner/command.go
+++ b/runner/command.go
@@ -27,6 +27,13 @@
 		r.relayer.Send(r.ctx, command.To, command.Mail)
 	case decider.Probe:
 		r.relayer.Probe(watcher.Send(command))
+	case decider.CancelCaller:
+		key := decider.KeyMail(command)
+		r.background(func(context.Context) {
+			if r.listener.Cancels(key) {
+				r.do(func(now timekeeper.Millis) []decider.Command { return r.node.Cancel(now, key.Caller) })
+			}
+		})
 	case decider.ReadTail:
 		r.background(func(ctx context.Context) { r.readTail(ctx, command.After) })
 	case decider.ReadHosts:
@@ -44,12 +51,13 @@
 }
 
 func (r *Runner) reply(c decider.Reply) {
-	if s, found := r.requests[c.Caller]; found {
+	s, found := r.requests[c.Caller]
+	if found {
 		r.metrics.Wait.WithLabelValues(s.rank).Observe(time.Since(s.at).Seconds())
 		delete(r.requests, c.Caller)
 	}
 	r.metrics.Outcomes.WithLabelValues(string(c.Outcome.Class), c.Outcome.Code).Inc()
-	if c.Outcome.Class == dispatcher.ClassDone {
+	if s.read && c.Outcome.Class == dispatcher.ClassDone {
 		role := "primary"
 		if c.Outcome.Replica {
 			role = "replica"
@@ -69,6 +77,10 @@
 			delete(r.conns, command.Conn)
 			conn.Close()
 		}
+	case dispatcher.CancelExec:
+		if conn := r.conns[command.Conn]; conn != nil {
+			r.background(conn.Cancel)
+		}
 	case dispatcher.Exec:
 		r.exec(database, command)
 	case dispatcher.Ask:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/heatherhall/heatherhall/classifier"
@@ -83,14 +82,19 @@
 	ready    bool
 }
 
-// started is when a caller's request began, and its rank.
+// started is when a caller's request began, its rank and whether it reads.
 type started struct {
 	at   time.Time
 	rank string
+	read bool
 }
 
+// Tune changes the settings of a daemon's decisions before it starts, for
+// baselines in measurements. It may be nil.
+type Tune func(*decider.Settings)
+
 // New returns a daemon that listens but does not serve yet. Logs go to out.
-func New(settings configurer.Settings, out io.Writer) (*Runner, error) {
+func New(settings configurer.Settings, out io.Writer, tune Tune) (*Runner, error) {
 	secret, err := settings.Secret.Text()
 	if err != nil {
 		return nil, err
@@ -115,7 +119,11 @@
 	if r.targets, err = newTargets(settings); err != nil {
 		return nil, err
 	}
-	r.node = decider.New(r.decisions(), decider.Seams{Log: r.decisionLog(), Invariant: r.invariant})
+	decisions := r.decisions()
+	if tune != nil {
+		tune(&decisions)
+	}
+	r.node = decider.New(decisions, decider.Seams{Log: r.decisionLog(), Invariant: r.invariant})
 	r.relayer, err = relayer.New(settings.Host.Name, settings.Host.Peer, []byte(secret), relayer.Handlers{
 		Mailed: r.mailed,
 		Probed: r.probed,
@@ -268,7 +276,7 @@
 		TLS:        tlsConfig,
 		Log:        r.log.Infof,
 		Statement:  r.settings.Times.Statement,
-		Host:       uint16(xxhash.Sum64String(r.settings.Host.Name) & 0xfff),
+		Host:       decider.HostNumber(r.settings.Host.Name),
 	}
 }
 
@@ -380,7 +388,11 @@
 
 func (r *Runner) submit(request decider.Request) {
 	r.do(func(now timekeeper.Millis) []decider.Command {
-		r.requests[request.Caller] = started{at: time.Now(), rank: request.Rank.String()}
+		r.requests[request.Caller] = started{
+			at:   time.Now(),
+			rank: request.Rank.String(),
+			read: !request.Write && !request.Begin,
+		}
 		return r.node.Submit(now, request)
 	})
 }
@@ -397,4 +409,6 @@
 	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.PeerLost(now, name) })
 }
 
-func (r *Runner) cancel(listener.CancelKey) {}
+func (r *Runner) cancel(key decider.KeyMail) {
+	r.do(func(timekeeper.Millis) []decider.Command { return r.node.CancelKey(key) })
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -33,13 +33,23 @@
 
 // level is the state of one rank.
 type level struct {
-	class   Class
+	class Class
+	clock float64
+	flows map[string]*flow
+	lanes [lanes]laneState
+}
+
+// laneState is the state of one rank in one lane. Lanes are accounted apart:
+// work that any server may run does not wait behind work for the primary.
+type laneState struct {
+	heap    flowHeap
 	credit  float64
-	clock   float64
 	backlog float64
 	count   int
-	flows   map[string]*flow
-	heaps   [lanes]flowHeap
+}
+
+func (l *level) count() int {
+	return l.lanes[LanePrimary].count + l.lanes[LaneAny].count
 }
 
 // Queue holds the waiting work of one database. It is not safe for concurrent
@@ -47,42 +57,47 @@
 type Queue struct {
 	levels   [Ranks]level
 	limit    int
-	capacity float64
+	capacity [lanes]float64
 	skipped  []*flow
 }
 
 // New returns an empty queue that holds at most limit items.
 func New(classes Classes, limit int) *Queue {
-	q := &Queue{limit: limit, capacity: 1}
+	q := &Queue{limit: limit, capacity: [lanes]float64{1, 1}}
 	for i := range q.levels {
 		q.levels[i] = level{class: classes[i], flows: map[string]*flow{}}
-		for lane := range q.levels[i].heaps {
-			q.levels[i].heaps[lane].lane = Lane(lane)
+		for lane := range q.levels[i].lanes {
+			q.levels[i].lanes[lane].heap.lane = Lane(lane)
 		}
 	}
 	return q
 }
 
-// SetCapacity tells how many items can run at once; waits are estimated from
-// it.
-func (q *Queue) SetCapacity(slots int) {
-	q.capacity = max(1, float64(slots))
+// SetCapacity tells how many items of a lane can run at once; waits are
+// estimated from it.
+func (q *Queue) SetCapacity(lane Lane, slots int) {
+	q.capacity[lane] = max(1, float64(slots))
 }
 
 // Len returns the number of waiting items of a rank.
 func (q *Queue) Len(rank Rank) int {
-	return q.levels[rank].count
+	return q.levels[rank].count()
 }
 
-// Total returns the number of waiting items.
-func (q *Queue) Total() int {
+// Waiting returns the number of waiting items of a lane.
+func (q *Queue) Waiting(lane Lane) int {
 	total := 0
 	for i := range q.levels {
-		total += q.levels[i].count
+		total += q.levels[i].lanes[lane].count
 	}
 	return total
 }
 
+// Total returns the number of waiting items.
+func (q *Queue) Total() int {
+	return q.Waiting(LanePrimary) + q.Waiting(LaneAny)
+}
+
 // Push adds an item. It refuses work that is expected to start after its
 // deadline, with the time after which a retry makes sense.
 func (q *Queue) Push(now timekeeper.Millis, item Item) error {
@@ -104,9 +119,10 @@
 	}
 	f.waiting[item.Lane].push(item)
 	f.backlog += item.Cost
-	l.backlog += item.Cost
-	l.count++
-	l.heaps[item.Lane].settle(f)
+	state := &l.lanes[item.Lane]
+	state.backlog += item.Cost
+	state.count++
+	state.heap.settle(f)
 	return nil
 }
 
@@ -120,23 +136,24 @@
 func (q *Queue) estimate(item Item, f *flow) float64 {
 	ahead := 0.0
 	for rank := range item.Rank + 1 {
-		ahead += q.levels[rank].backlog
+		ahead += q.levels[rank].lanes[item.Lane].backlog
 	}
 	below := 0
 	for rank := item.Rank + 1; rank < Ranks; rank++ {
-		if q.levels[rank].count > 0 {
+		if q.levels[rank].lanes[item.Lane].count > 0 {
 			below += q.levels[rank].class.Share
 		}
 	}
-	l := &q.levels[item.Rank]
-	wait := ahead / (q.capacity * float64(100-below) / 100)
-	rate := q.capacity * float64(l.class.Share) / 100
+	capacity := q.capacity[item.Lane]
+	state := &q.levels[item.Rank].lanes[item.Lane]
+	wait := ahead / (capacity * float64(max(100-below, 1)) / 100)
+	rate := capacity * float64(q.levels[item.Rank].class.Share) / 100
 	if rate > 0 {
-		wait = min(wait, l.backlog/rate)
+		wait = min(wait, state.backlog/rate)
 	}
-	active := max(l.heaps[LanePrimary].Len(), l.heaps[LaneAny].Len(), 1)
-	if l.backlog > 0 {
-		wait = min(wait, wait*f.backlog*float64(active)/l.backlog)
+	active := max(state.heap.Len(), 1)
+	if state.backlog > 0 {
+		wait = min(wait, wait*f.backlog*float64(active)/state.backlog)
 	}
 	return wait
 }
@@ -144,14 +161,16 @@
 // Pop takes out the item that goes next among those in the given lanes that
 // fit.
 func (q *Queue) Pop(open [2]bool, fits func(Item) bool) (Item, bool) {
-	favoured := q.favoured(open)
+	favoured, lane := q.favoured(open)
 	if favoured != Ranks {
-		if item, found := q.take(favoured, open, fits); found {
+		only := [2]bool{}
+		only[lane] = true
+		if item, found := q.take(favoured, only, fits); found {
 			return item, true
 		}
 	}
 	for rank := range Rank(Ranks) {
-		if rank == favoured || q.levels[rank].count == 0 {
+		if q.levels[rank].count() == 0 {
 			continue
 		}
 		if item, found := q.take(rank, open, fits); found {
@@ -162,23 +181,21 @@
 }
 
 // favoured returns the rank below the most urgent one that has saved up enough
-// credit to go first, or Ranks.
-func (q *Queue) favoured(open [2]bool) Rank {
-	best := Rank(Ranks)
+// credit in a lane to go first there, or Ranks.
+func (q *Queue) favoured(open [2]bool) (Rank, Lane) {
+	best, lane, credit := Rank(Ranks), LanePrimary, 0.0
 	for rank := Rank(1); rank < Ranks; rank++ {
-		l := &q.levels[rank]
-		if !l.ready(open) || l.credit < l.backlog/float64(max(l.count, 1)) {
-			continue
-		}
-		if best == Ranks || l.credit > q.levels[best].credit {
-			best = rank
+		for i := range q.levels[rank].lanes {
+			state := &q.levels[rank].lanes[i]
+			if !open[i] || state.heap.Len() == 0 || state.credit < state.backlog/float64(max(state.count, 1)) {
+				continue
+			}
+			if best == Ranks || state.credit > credit {
+				best, lane, credit = rank, Lane(i), state.credit
+			}
 		}
 	}
-	return best
-}
-
-func (l *level) ready(open [2]bool) bool {
-	return open[LanePrimary] && l.heaps[LanePrimary].Len() > 0 || open[LaneAny] && l.heaps[LaneAny].Len() > 0
+	return best, lane
 }
 
 // take removes the next fitting item of a rank.
@@ -191,7 +208,7 @@
 			return Item{}, false
 		}
 		if !fits(f.waiting[lane].peek()) {
-			l.heaps[lane].remove(f)
+			l.lanes[lane].heap.remove(f)
 			q.skipped = append(q.skipped, f)
 			continue
 		}
@@ -206,11 +223,11 @@
 func (l *level) first(open [2]bool) (*flow, Lane) {
 	var best *flow
 	lane := LanePrimary
-	for i := range l.heaps {
-		if !open[i] || l.heaps[i].Len() == 0 {
+	for i := range l.lanes {
+		if !open[i] || l.lanes[i].heap.Len() == 0 {
 			continue
 		}
-		if f := l.heaps[i].flows[0]; best == nil || f.tag < best.tag {
+		if f := l.lanes[i].heap.flows[0]; best == nil || f.tag < best.tag {
 			best = f
 			lane = Lane(i)
 		}
@@ -221,15 +238,14 @@
 // restore puts the flows that were passed over back.
 func (q *Queue) restore(l *level) {
 	for _, f := range q.skipped {
-		for i := range l.heaps {
-			l.heaps[i].settle(f)
-		}
+		l.settle(f)
 	}
 	q.skipped = q.skipped[:0]
 }
 
 // charge accounts for a started item: its customer's tag moves on, its rank
-// pays the cost, and ranks with waiting work save up their shares of it.
+// pays the cost, and ranks with waiting work in the lane save up their shares of
+// it.
 func (q *Queue) charge(l *level, f *flow, item Item) {
 	l.clock = max(l.clock, f.tag)
 	f.tag += item.Cost
@@ -237,22 +253,30 @@
 	l.unqueue(f, item)
 	for i := range q.levels {
 		other := &q.levels[i]
-		if other.count > 0 || other == l {
-			other.credit = min(creditLimit, other.credit+item.Cost*float64(other.class.Share)/100)
+		state := &other.lanes[item.Lane]
+		if state.count > 0 || other == l {
+			state.credit = min(creditLimit, state.credit+item.Cost*float64(other.class.Share)/100)
 		}
 	}
-	l.credit = max(debtLimit, l.credit-item.Cost)
-	for i := range l.heaps {
-		l.heaps[i].settle(f)
+	state := &l.lanes[item.Lane]
+	state.credit = max(debtLimit, state.credit-item.Cost)
+	l.settle(f)
+}
+
+// settle puts a flow where its tag, limit and work say, in both lanes.
+func (l *level) settle(f *flow) {
+	for i := range l.lanes {
+		l.lanes[i].heap.settle(f)
 	}
 }
 
 func (l *level) unqueue(f *flow, item Item) {
-	l.count--
-	l.backlog -= item.Cost
+	state := &l.lanes[item.Lane]
+	state.count--
+	state.backlog -= item.Cost
 	f.backlog -= item.Cost
-	if l.count == 0 {
-		l.backlog = 0
+	if state.count == 0 {
+		state.backlog = 0
 	}
 }
 
@@ -266,10 +290,9 @@
 	}
 	f.running--
 	f.tag += took - item.Cost
-	l.credit = min(creditLimit, max(debtLimit, l.credit+item.Cost-took))
-	for i := range l.heaps {
-		l.heaps[i].settle(f)
-	}
+	state := &l.lanes[item.Lane]
+	state.credit = min(creditLimit, max(debtLimit, state.credit+item.Cost-took))
+	l.settle(f)
 	l.forget(f)
 }
 
@@ -292,7 +315,7 @@
 	var out []Item
 	for i := range q.levels {
 		l := &q.levels[i]
-		if l.count == 0 {
+		if l.count() == 0 {
 			continue
 		}
 		for _, f := range l.flows {
@@ -310,7 +333,7 @@
 		for _, item := range gone {
 			l.unqueue(f, item)
 		}
-		l.heaps[lane].settle(f)
+		l.lanes[lane].heap.settle(f)
 		out = append(out, gone...)
 	}
 	l.forget(f)
