--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand"
 	"strings"
 
@@ -55,6 +56,7 @@
 	lose     int
 	cuts     map[string]bool
 	frozen   map[string]bool
+	leaving  map[string]bool
 	failures []string
 	log      func(string, ...any)
 	started  int
@@ -97,6 +99,7 @@
 		store:   faker.NewStore(),
 		cuts:    map[string]bool{},
 		frozen:  map[string]bool{},
+		leaving: map[string]bool{},
 		log:     log,
 	}
 	for i, domain := range worldDomains {
@@ -287,6 +290,11 @@
 			}
 			return func(now timekeeper.Millis) []decider.Command { return d.node.TailRead(now, nil, edits) }
 		})
+	case decider.ReadHosts:
+		w.platform(d, func() func(timekeeper.Millis) []decider.Command {
+			leaving := map[string]map[string]bool{worldDatabase: maps.Clone(w.leaving)}
+			return func(now timekeeper.Millis) []decider.Command { return d.node.HostsRead(now, nil, nil, leaving) }
+		})
 	case decider.ToPlatform:
 		w.toPlatform(d, command.Command)
 	case decider.ToServer:
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -233,7 +233,7 @@
 	host := w.names[w.rand.Intn(len(w.names))]
 	domain := worldDomains[w.rand.Intn(len(worldDomains))]
 	heal := func(act func()) { w.after(duration, act) }
-	switch w.rand.Intn(9) {
+	switch w.rand.Intn(11) {
 	case 0:
 		w.log("%d fault: %s freezes for %d", w.now, server.name, duration)
 		w.frozen[server.name] = true
@@ -271,6 +271,19 @@
 		w.log("%d fault: %s lags by %d", w.now, server.name, duration)
 		server.lag = duration
 		heal(func() { server.lag = 10 })
+	case 9:
+		w.log("%d fault: %s leaves for %d", w.now, server.name, duration)
+		w.leaving[server.name] = true
+		heal(func() { delete(w.leaving, server.name) })
+	case 10:
+		w.log("%d fault: %s drains and is restarted after %d", w.now, host, duration)
+		d := w.daemons[host]
+		w.atPlace(host, func() { w.input(d, d.node.Drain) })
+		heal(func() {
+			if w.alive(d) {
+				w.startDaemon(host, d.domain)
+			}
+		})
 	}
 }
 
@@ -278,6 +291,7 @@
 func (w *world) heal() {
 	w.cuts = map[string]bool{}
 	w.frozen = map[string]bool{}
+	w.leaving = map[string]bool{}
 	w.down = false
 	w.lose = 0
 	for _, s := range w.servers {
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/faker"
 )
 
@@ -40,20 +44,21 @@
 		RequireUniqueNames: true,
 		Setup: func(env *testscript.Env) error {
 			env.Values[fleetKey{}] = newFleet(env)
-			env.Setenv("PGPASSWORD", password)
+			env.Setenv("NET", "127."+strconv.Itoa(fleetOf(env.Values).network))
 			env.Setenv("HEATHERHALL_PASSWORD", password)
 			env.Setenv("HEATHERHALL_PLATFORM", fleetOf(env.Values).platform())
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":  cmdFleet,
-			"send":   cmdSend,
-			"sql":    cmdSQL,
-			"fault":  cmdFault,
-			"outage": cmdOutage,
-			"hosts":  cmdHosts,
-			"within": cmdWithin,
-			"load":   cmdLoad,
+			"fleet":   cmdFleet,
+			"send":    cmdSend,
+			"sql":     cmdSQL,
+			"fault":   cmdFault,
+			"outage":  cmdOutage,
+			"hosts":   cmdHosts,
+			"within":  cmdWithin,
+			"load":    cmdLoad,
+			"restart": cmdRestart,
 		},
 	})
 }
@@ -70,6 +75,16 @@
 	ts.Check(scriptFleet(ts).signal(args[1], signals[args[0]]))
 }
 
+// cmdRestart shuts a daemon down gracefully and starts it again: restart h1.
+func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	f := scriptFleet(ts)
+	ts.Check(f.signal(args[0], syscall.SIGTERM))
+	number, err := strconv.Atoi(strings.TrimPrefix(args[0], "h"))
+	ts.Check(err)
+	ts.Check(f.startDaemon(number - 1))
+	ts.Check(await(args[0], func() error { return f.serves(args[0]) }))
+}
+
 // cmdSQL runs a statement as a caller of a daemon: sql [-as CUSTOMER] [-token]
 // HOST DATABASE SQL. With -token it carries the token of the last such call
 // along. It prints the values, or the SQLSTATE and message.
@@ -87,14 +102,19 @@
 	}
 }
 
-// cmdWithin repeats a statement until its output holds a text: within 10s TEXT
-// sql HOST DATABASE SQL.
+// cmdWithin repeats a question until its answer holds a text: within 10s TEXT
+// sql HOST DATABASE SQL, or within 10s TEXT status DATABASE for the name of the
+// database's primary.
 func cmdWithin(ts *testscript.TestScript, _ bool, args []string) {
 	limit, err := time.ParseDuration(args[0])
 	ts.Check(err)
 	deadline := time.Now().Add(limit)
 	for {
-		out, err := scriptFleet(ts).sql(args[3:])
+		ask := scriptFleet(ts).sql
+		if args[2] == "status" {
+			ask = scriptFleet(ts).primary
+		}
+		out, err := ask(args[3:])
 		if err != nil {
 			out = errorText(err)
 		}
@@ -123,6 +143,28 @@
 	ts.Check(scriptFleet(ts).put("/hosts", args[0]))
 }
 
+// primary returns the name of a database's primary, as its home tells.
+func (f *fleet) primary(args []string) (string, error) {
+	for i := range daemons {
+		var status decider.Status
+		response, err := http.Get("http://" + f.ip(1, i+1) + ":9100/status")
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(response.Body).Decode(&status)
+		_ = response.Body.Close()
+		if err != nil {
+			return "", err
+		}
+		for _, d := range status.Databases {
+			if d.Name == args[0] && d.Home == status.Host {
+				return d.Primary, nil
+			}
+		}
+	}
+	return "", errors.New("no daemon is the home of " + args[0])
+}
+
 // sql runs one statement over a new connection.
 func (f *fleet) sql(args []string) (string, error) {
 	customer := "coop"
