Test each decision package; forward mail around a cut link; trim the ledger

Change: mail to a host that could not be reached goes through a third daemon for 3 s; old request keys are deleted in small pieces as browse work; the entry never reports doubtful work as not run.

--- /dev/null
+++ b/classifier/classifier_test.go
@@ -0,0 +1,100 @@
+package classifier_test
+
+import (
+	"testing"
+
+	"github.com/heatherhall/heatherhall/classifier"
+	"github.com/heatherhall/heatherhall/scheduler"
+)
+
+func TestClassify(t *testing.T) {
+	tests := map[string]struct {
+		sql                     string
+		write, begin, end       bool
+		refused, show, rollback bool
+	}{
+		"select":             {sql: "SELECT v FROM coins WHERE id = 'a'"},
+		"aggregate":          {sql: "SELECT count(*), max(v) FROM coins"},
+		"lock":               {sql: "SELECT v FROM coins FOR UPDATE", write: true},
+		"writing CTE":        {sql: "WITH x AS (DELETE FROM coins RETURNING id) SELECT * FROM x", write: true},
+		"volatile function":  {sql: "SELECT nextval('s')", write: true},
+		"hidden in subquery": {sql: "SELECT * FROM coins WHERE id IN (SELECT setval('s', 1)::text)", write: true},
+		"select into":        {sql: "SELECT 1 INTO t", write: true},
+		"insert":             {sql: "INSERT INTO coins VALUES ('a')", write: true},
+		"syntax error":       {sql: "SELEC 1", write: true},
+		"begin":              {sql: "BEGIN", begin: true},
+		"commit":             {sql: "COMMIT", end: true},
+		"rollback":           {sql: "ROLLBACK", end: true, rollback: true},
+		"whole transaction":  {sql: "BEGIN; INSERT INTO coins VALUES ('a'); COMMIT", write: true, begin: true, end: true},
+		"read among writes":  {sql: "SELECT 1; DELETE FROM coins", write: true},
+		"listen":             {sql: "LISTEN x", write: true, refused: true},
+		"session lock":       {sql: "SELECT pg_advisory_lock(1)", write: true, refused: true},
+		"copy":               {sql: "COPY coins FROM STDIN", write: true, refused: true},
+		"temporary table":    {sql: "CREATE TEMP TABLE x (id text)", write: true, refused: true},
+		"two-phase commit":   {sql: "PREPARE TRANSACTION 'x'", refused: true},
+		"show":               {sql: "SHOW heatherhall.session", show: true},
+	}
+	c := classifier.New()
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range 2 {
+				_, got, _, err := c.Classify(test.sql)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got.Write != test.write || got.Begin != test.begin || got.End != test.end ||
+					(got.Refused != "") != test.refused || (got.Show != "") != test.show || got.Rollback != test.rollback {
+					t.Errorf("%s: got %+v", test.sql, got)
+				}
+			}
+		})
+	}
+}
+
+func TestHints(t *testing.T) {
+	tests := map[string]struct {
+		sql, text string
+		want      classifier.Hints
+		wrong     bool
+	}{
+		"before": {
+			sql: "/*rank='settlement',request='a1'*/ SELECT 1", text: " SELECT 1",
+			want: classifier.Hints{Rank: scheduler.RankUrgent, HasRank: true, Request: "a1"},
+		},
+		"after": {
+			sql: "SELECT 1 /*rank='browsing',max_age='30s'*/;", text: "SELECT 1 ",
+			want: classifier.Hints{Rank: scheduler.RankBrowse, HasRank: true, MaxAge: 30_000},
+		},
+		"other comment":     {sql: "/* catalogue page */ SELECT 1", text: "/* catalogue page */ SELECT 1"},
+		"other tool":        {sql: "/*controller='x'*/ SELECT 1", text: " SELECT 1"},
+		"quote in value":    {sql: "/*request='it''s'*/ SELECT 1", text: " SELECT 1", want: classifier.Hints{Request: "it's"}},
+		"comma in value":    {sql: "/*request='a,b'*/ SELECT 1", text: " SELECT 1", want: classifier.Hints{Request: "a,b"}},
+		"unknown rank":      {sql: "/*rank='first'*/ SELECT 1", wrong: true},
+		"negative age":      {sql: "/*max_age='-1s'*/ SELECT 1", wrong: true},
+		"empty request":     {sql: "/*request=''*/ SELECT 1", wrong: true},
+		"comment left open": {sql: "/*rank='settlement'", text: "/*rank='settlement'"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			text, _, hints, err := classifier.New().Classify(test.sql)
+			if (err != nil) != test.wrong {
+				t.Fatalf("error: got %v, want one: %v", err, test.wrong)
+			}
+			if err == nil && (text != test.text || hints != test.want) {
+				t.Errorf("got %q %+v", text, hints)
+			}
+		})
+	}
+}
+
+func FuzzClassify(f *testing.F) {
+	f.Add("/*rank='settlement',request='a'*/ SELECT 1")
+	f.Add("BEGIN; COMMIT")
+	c := classifier.New()
+	f.Fuzz(func(t *testing.T, sql string) {
+		text, _, _, err := c.Classify(sql)
+		if err == nil && len(text) > len(sql) {
+			t.Errorf("%q grew to %q", sql, text)
+		}
+	})
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -59,6 +59,7 @@
 			listsCommand(),
 			statusCommand(),
 			benchCommand(),
+			demoCommand(),
 			versionCommand(),
 		},
 	}
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -181,6 +181,7 @@
 		{"silence", s.Times.Silence},
 		{"statement", s.Times.Statement},
 		{"token", s.Times.Token},
+		{"ledger", s.Times.Ledger},
 		{"drain", s.Times.Drain},
 	} {
 		c.atLeast("times."+t.name, int64(t.value), 1)
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -126,6 +126,8 @@
 	Statement timekeeper.Millis `json:"statement"`
 	// Token is how long a session token is good.
 	Token timekeeper.Millis `json:"token"`
+	// Ledger is how long request keys are kept; a repeat after that runs again.
+	Ledger timekeeper.Millis `json:"ledger"`
 	// Drain is how long a graceful shutdown may take.
 	Drain timekeeper.Millis `json:"drain"`
 }
@@ -156,6 +158,7 @@
 			Silence:     900,
 			Statement:   15_000,
 			Token:       86_400_000,
+			Ledger:      86_400_000,
 			Drain:       30_000,
 		},
 		Log: Log{Level: "info", Decisions: true},
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -259,6 +259,9 @@
 // run carries out one piece of work.
 func (c *Conn) run(e dispatcher.Exec) dispatcher.Answer {
 	start := time.Now()
+	if e.SQL != "" {
+		e.Payload = encodeQuery(e.SQL)
+	}
 	var answer dispatcher.Answer
 	switch {
 	case e.Key != "" && e.Begin:
@@ -313,7 +316,7 @@
 }
 
 func keyOf(e dispatcher.Exec) deduplicator.Key {
-	return deduplicator.Key{Customer: e.Customer, Request: e.Key, Digest: e.Digest}
+	return deduplicator.Key{Customer: e.Customer, Request: e.Key, Digest: e.Digest, Made: e.Made}
 }
 
 // runKeyed runs a batch with a request key at most once.
--- a/decider/command.go
+++ b/decider/command.go
@@ -86,6 +86,7 @@
 	Outcome *dispatcher.Outcome `json:"outcome,omitempty"`
 	Cancel  *CancelMail         `json:"cancel,omitempty"`
 	Key     *KeyMail            `json:"key,omitempty"`
+	Forward *ForwardMail        `json:"forward,omitempty"`
 	Fetch   *FetchMail          `json:"fetch,omitempty"`
 	Lists   *planner.File       `json:"lists,omitempty"`
 }
@@ -112,6 +113,14 @@
 	Secret uint32 `json:"secret"`
 }
 
+// ForwardMail is mail that travels through a third daemon, because its sender
+// can't reach its receiver.
+type ForwardMail struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+	Mail Mail   `json:"mail"`
+}
+
 // FetchMail asks for lists newer than a version.
 type FetchMail struct {
 	After int64 `json:"after"`
--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -611,6 +611,9 @@
 // run executes a batch as a server and its connector would.
 func (s *server) run(c *conn, e dispatcher.Exec) dispatcher.Answer {
 	var b batch
+	if e.SQL != "" {
+		return dispatcher.Answer{Reply: dispatcher.ReplyDone, Status: "I", Code: "42P01"}
+	}
 	if err := json.Unmarshal(e.Payload, &b); err != nil {
 		s.world.failf("payload: %v", err)
 	}
--- a/decider/entry.go
+++ b/decider/entry.go
@@ -131,14 +131,11 @@
 		n.serverCommands(now, h, h.dispatcher.Submit(now, p.work))
 		return
 	}
-	to, known := n.hosts.Member(p.home)
-	if !known {
-		n.reply(p, *refusal(dispatcher.CodeNoPrimary, "no host keeps the database", 0))
-		return
-	}
 	n.logf("relayer: %s goes to %s, the home of %s", p.work.ID, p.home, p.work.Database)
 	work := p.work
-	n.emit(ToPeer{To: to, Mail: Mail{Work: &work}})
+	if !n.mail(now, p.home, Mail{Work: &work}) {
+		n.reply(p, *refusal(dispatcher.CodeNoPrimary, "no host keeps the database", 0))
+	}
 }
 
 // Step takes the next batch of a caller's open transaction.
@@ -161,12 +158,9 @@
 		n.serverCommands(now, h, h.dispatcher.Step(now, n.settings.Self.Name, step))
 		return n.take()
 	}
-	to, known := n.hosts.Member(p.home)
-	if !known {
+	if !n.mail(now, p.home, Mail{Step: &StepMail{Database: p.work.Database, Entry: n.settings.Self.Name, Step: step}}) {
 		n.lose(now, p)
-		return n.take()
 	}
-	n.emit(ToPeer{To: to, Mail: Mail{Step: &StepMail{Database: p.work.Database, Entry: n.settings.Self.Name, Step: step}}})
 	return n.take()
 }
 
@@ -183,9 +177,7 @@
 			return h.dispatcher.Cancel(now, p.work.ID)
 		})
 	}
-	if to, known := n.hosts.Member(p.home); known {
-		n.emit(ToPeer{To: to, Mail: Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID}}})
-	}
+	n.mail(now, p.home, Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID}})
 	return n.take()
 }
 
@@ -200,9 +192,7 @@
 			return h.dispatcher.CancelStatement(now, p.work.ID)
 		})
 	}
-	if to, known := n.hosts.Member(p.home); known {
-		n.emit(ToPeer{To: to, Mail: Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID, Statement: true}}})
-	}
+	n.mail(now, p.home, Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID, Statement: true}})
 	return n.take()
 }
 
@@ -258,6 +248,9 @@
 // reply hands an outcome to the caller and forgets the request, unless its
 // transaction goes on.
 func (n *Node) reply(p *pending, o dispatcher.Outcome) {
+	if o.Class == dispatcher.ClassRefused && p.work.Doubtful {
+		o = unknown(o.Text)
+	}
 	n.emit(Reply{Caller: p.caller, Outcome: o})
 	p.waits = false
 	if o.Open() {
@@ -268,8 +261,10 @@
 }
 
 // PeerLost tells that another daemon can't be reached. What was given to it is
-// given to another home, if it may run again.
+// given to another home, if it may run again; mail to it takes a detour for a
+// time.
 func (n *Node) PeerLost(now timekeeper.Millis, name string) []Command {
+	n.unreachable[name] = now + detour
 	for _, p := range n.sortedPending() {
 		if p.home == name && (p.waits || p.open) {
 			n.lose(now, p)
--- a/decider/home.go
+++ b/decider/home.go
@@ -1,9 +1,11 @@
 package decider
 
 import (
+	"github.com/heatherhall/heatherhall/deduplicator"
 	"github.com/heatherhall/heatherhall/dispatcher"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/promoter"
+	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
@@ -28,6 +30,7 @@
 	mine       bool
 	since      timekeeper.Millis
 	used       timekeeper.Millis
+	trim       timekeeper.Millis
 }
 
 func newHome(now timekeeper.Millis, database string, n *Node) *home {
@@ -41,6 +44,7 @@
 		promoter: promoter.New(n.settings.Promoter, database, n.settings.Self.Name, n.seams.Log),
 		since:    now,
 		used:     now,
+		trim:     now + trimInterval,
 	}
 	h.dispatcher.SetShare(shareStray)
 	return h
@@ -73,12 +77,36 @@
 
 func (h *home) tick(now timekeeper.Millis, n *Node) {
 	n.serverCommands(now, h, h.dispatcher.Tick(now))
+	if h.mine && now >= h.trim {
+		h.trim = now + trimInterval
+		h.trimLedger(now, n)
+	}
 	if h.mine || h.promoter.Busy() {
 		n.promoterCommands(h, h.promoter.Tick(now, h.dispatcher.Views(now), h.dispatcher.Writes()))
 		n.serverCommands(now, h, h.dispatcher.SetPaused(now, h.promoter.Draining() || h.promoter.Busy()))
 	}
 }
 
+// trimInterval is the time between two trims of the ledger. Each deletes what
+// became too old in the meantime, a small piece.
+const trimInterval timekeeper.Millis = 10_000
+
+// trimLedger deletes old keys from the ledger as work of the lowest rank.
+func (h *home) trimLedger(now timekeeper.Millis, n *Node) {
+	keep := n.settings.Databases[h.database].Keep
+	if h.dispatcher.Primary() == "" || keep <= 0 {
+		return
+	}
+	n.serverCommands(now, h, h.dispatcher.Submit(now, dispatcher.Work{
+		ID:       n.nextID(),
+		Database: h.database,
+		Rank:     scheduler.RankBrowse,
+		Write:    true,
+		Within:   trimInterval,
+		SQL:      deduplicator.Trim(deduplicator.Made(now - keep)),
+	}))
+}
+
 // serverCommands carries out what a dispatcher decided.
 func (n *Node) serverCommands(now timekeeper.Millis, h *home, commands []dispatcher.Command) {
 	for _, c := range commands {
@@ -88,13 +116,14 @@
 			continue
 		}
 		outcome := finish.Outcome
+		if finish.Entry == "" {
+			continue
+		}
 		if finish.Entry == n.settings.Self.Name {
 			n.settle(now, outcome)
 			continue
 		}
-		if to, known := n.hosts.Member(finish.Entry); known {
-			n.emit(ToPeer{To: to, Mail: Mail{Outcome: &outcome}})
-		}
+		n.mail(now, finish.Entry, Mail{Outcome: &outcome})
 	}
 }
 
--- a/decider/node.go
+++ b/decider/node.go
@@ -28,6 +28,8 @@
 	buckets map[string]*bucket
 	blocked map[blockKey]timekeeper.Millis
 	backend map[string]map[string]bool
+	// unreachable holds until when mail to a host takes a detour.
+	unreachable map[string]timekeeper.Millis
 
 	conn     pooler.Conn
 	number   uint64
@@ -50,6 +52,8 @@
 		buckets:  map[string]*bucket{},
 		blocked:  map[blockKey]timekeeper.Millis{},
 		backend:  map[string]map[string]bool{},
+
+		unreachable: map[string]timekeeper.Millis{},
 	}
 	n.hosts = watcher.New(settings.Hosts, settings.Self, settings.Peers, seams.Log)
 	return n
--- a/decider/peer.go
+++ b/decider/peer.go
@@ -9,7 +9,14 @@
 
 // Mailed takes a message from another daemon.
 func (n *Node) Mailed(now timekeeper.Millis, from string, m Mail) []Command {
+	n.receive(now, from, m)
+	return n.take()
+}
+
+func (n *Node) receive(now timekeeper.Millis, from string, m Mail) {
 	switch {
+	case m.Forward != nil:
+		n.forward(now, *m.Forward)
 	case m.Work != nil:
 		n.mailedWork(now, *m.Work)
 	case m.Step != nil:
@@ -17,41 +24,41 @@
 	case m.Outcome != nil:
 		n.settle(now, *m.Outcome)
 	case m.Cancel != nil:
-		return n.withHome(now, m.Cancel.Database, func(h *home) []dispatcher.Command {
-			if m.Cancel.Statement {
-				return h.dispatcher.CancelStatement(now, m.Cancel.ID)
-			}
-			return h.dispatcher.Cancel(now, m.Cancel.ID)
-		})
+		n.mailedCancel(now, *m.Cancel)
 	case m.Key != nil:
 		if m.Key.Host == HostNumber(n.settings.Self.Name) {
 			n.emit(CancelCaller(*m.Key))
 		}
 	case m.Fetch != nil:
-		n.sendLists(from, m.Fetch.After)
+		n.sendLists(now, from, m.Fetch.After)
 	case m.Lists != nil:
 		n.adopt(*m.Lists)
 	}
-	return n.take()
+}
+
+func (n *Node) mailedCancel(now timekeeper.Millis, c CancelMail) {
+	h := n.homes[c.Database]
+	if h == nil {
+		return
+	}
+	if c.Statement {
+		n.serverCommands(now, h, h.dispatcher.CancelStatement(now, c.ID))
+		return
+	}
+	n.serverCommands(now, h, h.dispatcher.Cancel(now, c.ID))
 }
 
 // mailedWork runs work of another entry. Work for a database that this host is
 // not the home of is run all the same: two homes are slow, never wrong.
 func (n *Node) mailedWork(now timekeeper.Millis, w dispatcher.Work) {
 	if _, known := n.settings.Databases[w.Database]; !known {
-		n.refuseTo(w.Entry, dispatcher.Outcome{ID: w.ID, Class: dispatcher.ClassRefused, Code: CodeDatabase, Text: "the home does not know the database"})
+		n.mail(now, w.Entry, Mail{Outcome: &dispatcher.Outcome{ID: w.ID, Class: dispatcher.ClassRefused, Code: CodeDatabase, Text: "the home does not know the database"}})
 		return
 	}
 	h := n.open(now, w.Database)
 	n.serverCommands(now, h, h.dispatcher.Submit(now, w))
 }
 
-func (n *Node) refuseTo(entry string, o dispatcher.Outcome) {
-	if to, known := n.hosts.Member(entry); known {
-		n.emit(ToPeer{To: to, Mail: Mail{Outcome: &o}})
-	}
-}
-
 func (n *Node) mailedStep(now timekeeper.Millis, s StepMail) {
 	if _, known := n.settings.Databases[s.Database]; !known {
 		return
@@ -67,20 +74,17 @@
 		n.emit(Probe(send))
 	}
 	if m.Lists > n.lists.Version() {
-		if to, known := n.hosts.Member(m.From.Name); known {
-			n.emit(ToPeer{To: to, Mail: Mail{Fetch: &FetchMail{After: n.lists.Version()}}})
-		}
+		n.mail(now, m.From.Name, Mail{Fetch: &FetchMail{After: n.lists.Version()}})
 	}
 	return n.take()
 }
 
-func (n *Node) sendLists(from string, after int64) {
-	to, known := n.hosts.Member(from)
-	if !known || n.lists.Version() <= after {
+func (n *Node) sendLists(now timekeeper.Millis, from string, after int64) {
+	if n.lists.Version() <= after {
 		return
 	}
 	file := n.lists.File()
-	n.emit(ToPeer{To: to, Mail: Mail{Lists: &file}})
+	n.mail(now, from, Mail{Lists: &file})
 }
 
 // adopt takes over lists of a higher version.
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -233,7 +233,7 @@
 	host := w.names[w.rand.Intn(len(w.names))]
 	domain := worldDomains[w.rand.Intn(len(worldDomains))]
 	heal := func(act func()) { w.after(duration, act) }
-	switch w.rand.Intn(11) {
+	switch w.rand.Intn(12) {
 	case 0:
 		w.log("%d fault: %s freezes for %d", w.now, server.name, duration)
 		w.frozen[server.name] = true
@@ -275,6 +275,11 @@
 		w.log("%d fault: %s leaves for %d", w.now, server.name, duration)
 		w.leaving[server.name] = true
 		heal(func() { delete(w.leaving, server.name) })
+	case 11:
+		pair := host + "|" + w.names[w.rand.Intn(len(w.names))]
+		w.log("%d fault: %s is cut for %d", w.now, pair, duration)
+		w.cuts[pair] = true
+		heal(func() { delete(w.cuts, pair) })
 	case 10:
 		w.log("%d fault: %s drains and is restarted after %d", w.now, host, duration)
 		d := w.daemons[host]
--- a/deduplicator/run.go
+++ b/deduplicator/run.go
@@ -4,7 +4,10 @@
 package deduplicator
 
 import (
+	"fmt"
 	"strings"
+
+	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
 // SQLSTATEs that the steps tell apart.
@@ -23,6 +26,9 @@
 	Request  string
 	// Digest binds the key to one piece of work.
 	Digest string
+	// Made is the time of the work as a text that sorts by time; the ledger is
+	// trimmed by it.
+	Made string
 }
 
 // name is the ledger's primary key. Doubled slashes in the customer's name keep
@@ -105,7 +111,7 @@
 // violation if the key was used before.
 func Claim(key Key) string {
 	return "INSERT INTO heatherhall_ledger (key, digest, outcome, made) VALUES (" +
-		quote(key.name()) + ", " + quote(key.Digest) + ", '', '')"
+		quote(key.name()) + ", " + quote(key.Digest) + ", '', " + quote(key.Made) + ")"
 }
 
 // Record returns the statement that keeps an outcome under a key.
@@ -118,6 +124,19 @@
 	return "SELECT digest, outcome FROM heatherhall_ledger WHERE key = " + quote(key.name())
 }
 
+// Trim returns the statement that forgets the keys made before a time.
+func Trim(before string) string {
+	return "DELETE FROM heatherhall_ledger WHERE made < " + quote(before)
+}
+
+// madeWidth is the number of digits of Made, so that texts sort as times do.
+const madeWidth = 15
+
+// Made formats a time of the ledger.
+func Made(at timekeeper.Millis) string {
+	return fmt.Sprintf("%0*d", madeWidth, int64(at))
+}
+
 // Create returns the statement that makes the ledger table.
 func Create() string {
 	return "CREATE TABLE IF NOT EXISTS heatherhall_ledger (key text PRIMARY KEY, digest text, outcome text, made text)"
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -185,7 +185,7 @@
 		d.doubt(j, "the connection was lost while the transaction committed")
 	case j.opened:
 		d.rolledBack(j)
-	case j.work.Begin:
+	case j.work.Begin && !j.work.Write:
 		d.requeue(now, j, false)
 	case j.work.repeatable():
 		d.requeue(now, j, true)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/heatherhall/heatherhall/acknowledger"
+	"github.com/heatherhall/heatherhall/deduplicator"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/router"
 	"github.com/heatherhall/heatherhall/scheduler"
@@ -335,8 +336,10 @@
 		Customer: j.work.Customer,
 		Key:      j.work.Key,
 		Digest:   j.work.Digest,
+		Made:     deduplicator.Made(now),
 		Begin:    j.work.Begin,
 		Payload:  j.work.Payload,
+		SQL:      j.work.SQL,
 	})
 }
 
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -41,6 +41,8 @@
 	Idle [scheduler.Ranks]timekeeper.Millis
 	// Silence is how long a server may be silent before it gets no new work.
 	Silence timekeeper.Millis
+	// Keep is how long the ledger keeps the keys of work.
+	Keep timekeeper.Millis
 	// Fifo serves all work in the order of its arrival, as a baseline for
 	// measurements.
 	Fifo bool
@@ -68,6 +70,7 @@
 			scheduler.RankBrowse:   5_000,
 		},
 		Silence: 900,
+		Keep:    86_400_000,
 	}
 }
 
--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -14,7 +14,8 @@
 )
 
 // Work is a caller's unit of work for one database: a batch of statements that
-// commits by itself, or the beginning of a transaction (Begin).
+// commits by itself, or the beginning of a transaction (Begin). A batch that
+// begins a transaction and writes as well has both flags.
 type Work struct {
 	ID       string         `json:"id"`
 	Entry    string         `json:"entry"`
@@ -42,6 +43,8 @@
 	// Limit is how many statements the customer may have running; 0 is any.
 	Limit   int    `json:"limit,omitempty"`
 	Payload []byte `json:"payload"`
+	// SQL is the daemon's own statement, in place of a payload.
+	SQL string `json:"sql,omitempty"`
 }
 
 // UnmarshalJSON decodes work and checks that it is complete.
@@ -183,9 +186,13 @@
 	Customer string
 	Key      string
 	Digest   string
-	Begin    bool
-	Commit   bool
-	Payload  []byte
+	// Made is when the work began, as the ledger keeps it.
+	Made    string
+	Begin   bool
+	Commit  bool
+	Payload []byte
+	// SQL is the daemon's own statement, in place of a payload.
+	SQL string
 }
 
 // Ask asks a server for a report at once, over a path of its own.
--- /dev/null
+++ b/pooler/pool_test.go
@@ -0,0 +1,84 @@
+package pooler_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// TestPool checks that a connection is never handed out twice, that the share is
+// never exceeded by opening, and that lower ranks leave the last ones.
+func TestPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		last := pooler.Conn(0)
+		const limit = 16
+		pool := pooler.New(limit, func() pooler.Conn { last++; return last })
+		share := limit
+		now := timekeeper.Millis(0)
+		var opening, busy []pooler.Conn
+		used := map[pooler.Conn]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"plan": func(t *rapid.T) {
+				now += timekeeper.Millis(rapid.IntRange(0, 60_000).Draw(t, "passed"))
+				before := pool.Size()
+				opened, closed := pool.Plan(now, rapid.IntRange(0, 20).Draw(t, "demand"))
+				if len(opened) > 0 && pool.Size() > share {
+					t.Fatalf("opened %d beyond the share: %d of %d", len(opened), pool.Size(), share)
+				}
+				if pool.Size() != before+len(opened)-len(closed) {
+					t.Fatalf("size went from %d to %d by opening %d and closing %d", before, pool.Size(), len(opened), len(closed))
+				}
+				opening = append(opening, opened...)
+			},
+			"share": func(t *rapid.T) {
+				share = rapid.IntRange(1, limit).Draw(t, "share")
+				pool.SetShare(share)
+			},
+			"opened": func(t *rapid.T) {
+				if len(opening) > 0 {
+					if !pool.Opened(now, opening[0]) {
+						t.Fatalf("connection %d is not wanted", opening[0])
+					}
+					opening = opening[1:]
+				}
+			},
+			"take": func(t *rapid.T) {
+				rank := scheduler.Rank(rapid.IntRange(0, 2).Draw(t, "rank"))
+				conn, ready := pool.Take(rank)
+				if !ready {
+					return
+				}
+				if used[conn] {
+					t.Fatalf("connection %d was handed out twice", conn)
+				}
+				if rank != scheduler.RankUrgent && share >= 4 && pool.Busy() > share-share/4 {
+					t.Fatalf("rank %v took connection %d of a share of %d", rank, pool.Busy(), share)
+				}
+				used[conn] = true
+				busy = append(busy, conn)
+			},
+			"put": func(t *rapid.T) {
+				if len(busy) > 0 {
+					pool.Put(now, busy[0])
+					delete(used, busy[0])
+					busy = busy[1:]
+				}
+			},
+			"lost": func(t *rapid.T) {
+				if len(busy) > 0 {
+					pool.Lost(now, busy[0])
+					pool.Put(now, busy[0])
+					if pool.Has(busy[0]) {
+						t.Fatalf("lost connection %d is still in the pool", busy[0])
+					}
+					delete(used, busy[0])
+					busy = busy[1:]
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/promoter/promoter_test.go
@@ -0,0 +1,197 @@
+package promoter_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/heatherhall/heatherhall/promoter"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+func pos(term, offset int64) sequencer.Position {
+	return sequencer.Position{Term: term, Offset: offset}
+}
+
+var firstTerm = sequencer.History{{Term: 1}}
+
+func primaryView(heard timekeeper.Millis, answering bool) promoter.View {
+	return promoter.View{Name: "p", Heard: heard, Known: true, Answering: answering, Report: sequencer.Report{
+		Role: sequencer.RolePrimary, Promised: 1, Held: pos(1, 9), Applied: pos(1, 9), History: firstTerm, Upstream: -1,
+	}}
+}
+
+func replicaView(name string, heard timekeeper.Millis, link int64, held sequencer.Position) promoter.View {
+	return promoter.View{Name: name, Heard: heard, Known: true, Answering: true, Report: sequencer.Report{
+		Role: sequencer.RoleReplica, Promised: 1, Held: held, Applied: held, History: firstTerm, Upstream: link,
+	}}
+}
+
+func newPromoter() *promoter.Promoter {
+	return promoter.New(promoter.DefaultSettings(), "db", "h1", nil)
+}
+
+// watch ticks a promoter for two seconds over views and returns its commands.
+func watch(p *promoter.Promoter, views func(now timekeeper.Millis) []promoter.View) []promoter.Command {
+	var out []promoter.Command
+	for now := timekeeper.Millis(10_000); now < 12_000; now += 20 {
+		out = append(out, p.Tick(now, views(now), 0)...)
+	}
+	return out
+}
+
+func TestSuspicion(t *testing.T) {
+	tests := map[string]struct {
+		views func(now timekeeper.Millis) []promoter.View
+		want  string
+	}{
+		"all is well": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(now, true), replicaView("a", now, 50, pos(1, 9)), replicaView("b", now, 50, pos(1, 9))}
+		}, ""},
+		"primary and its streams silent": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(10_000, false), replicaView("a", now, 900, pos(1, 9)), replicaView("b", now, 900, pos(1, 8))}
+		}, "promoter.Claim"},
+		"only this host is cut off": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(10_000, false), replicaView("a", now, 50, pos(1, 9)), replicaView("b", now, 50, pos(1, 9))}
+		}, ""},
+		"one replica still hears it": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(10_000, false), replicaView("a", now, 900, pos(1, 9)), replicaView("b", now, 50, pos(1, 9))}
+		}, ""},
+		"slow streams, primary answers": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(now, true), replicaView("a", now, 900, pos(1, 9)), replicaView("b", now, 900, pos(1, 9))}
+		}, ""},
+		"this host reaches no majority": {func(now timekeeper.Millis) []promoter.View {
+			a := replicaView("a", now, 900, pos(1, 9))
+			a.Answering = false
+			return []promoter.View{primaryView(10_000, false), a, replicaView("b", now, 900, pos(1, 9))}
+		}, ""},
+		"stream lost for good, primary answers": {func(now timekeeper.Millis) []promoter.View {
+			return []promoter.View{primaryView(now, true), replicaView("a", now, 2000, pos(1, 9)), replicaView("b", now, 50, pos(1, 9))}
+		}, "promoter.Follow"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var kinds []string
+			for _, c := range watch(newPromoter(), test.views) {
+				kinds = append(kinds, fmt.Sprintf("%T", c))
+			}
+			if test.want == "" && len(kinds) > 0 || !strings.Contains(strings.Join(kinds, " "), test.want) {
+				t.Errorf("commands: got %v, want %q", kinds, test.want)
+			}
+		})
+	}
+}
+
+// lead brings a promoter to its fence and returns the time and term.
+func lead(t *testing.T, p *promoter.Promoter, views []promoter.View) (timekeeper.Millis, promoter.Claim) {
+	t.Helper()
+	for now := timekeeper.Millis(10_000); now < 12_000; now += 20 {
+		for _, c := range p.Tick(now, views, 0) {
+			if claim, ok := c.(promoter.Claim); ok {
+				return now, claim
+			}
+		}
+	}
+	t.Fatal("no claim")
+	return 0, promoter.Claim{}
+}
+
+func deadPrimary() []promoter.View {
+	return []promoter.View{primaryView(9000, false), replicaView("a", 10_000, 900, pos(1, 8)), replicaView("b", 10_000, 900, pos(1, 9))}
+}
+
+func TestPromotesHighest(t *testing.T) {
+	p := newPromoter()
+	views := deadPrimary()
+	now, claim := lead(t, p, views)
+	if fences := p.Claimed(now, claim.Attempt, true, claim.Row, views); len(fences) != 3 {
+		t.Fatalf("fences: got %v, want one for each server", fences)
+	}
+	fenced := func(name string, held sequencer.Position) []promoter.Command {
+		report := sequencer.Report{Role: sequencer.RoleFenced, Promised: claim.Row.Term, Held: held, Applied: held, History: firstTerm}
+		return p.Fenced(now, claim.Attempt, name, true, report, views)
+	}
+	if out := fenced("a", pos(1, 8)); len(out) != 0 {
+		t.Fatalf("decided on one fence: %v", out)
+	}
+	out := fenced("b", pos(1, 9))
+	want := promoter.Promote{Attempt: claim.Attempt, Server: "b", Term: 2}
+	if len(out) != 1 || out[0] != want {
+		t.Fatalf("got %v, want %v", out, want)
+	}
+	report := sequencer.Report{Role: sequencer.RolePrimary, Promised: 2, History: firstTerm.With(2, 9)}
+	out = p.Promoted(now, claim.Attempt, true, report, views)
+	if len(out) != 3 || p.Busy() {
+		t.Fatalf("after the promotion: got %v, busy %v, want a row and two replicas told", out, p.Busy())
+	}
+}
+
+func TestGivesUp(t *testing.T) {
+	tests := map[string]func(p *promoter.Promoter, now timekeeper.Millis, claim promoter.Claim, views []promoter.View){
+		"another claimed the term": func(p *promoter.Promoter, now timekeeper.Millis, claim promoter.Claim, views []promoter.View) {
+			p.Claimed(now, claim.Attempt, false, promoter.Row{Term: 5, Candidate: "h2"}, views)
+		},
+		"too few were fenced": func(p *promoter.Promoter, now timekeeper.Millis, claim promoter.Claim, views []promoter.View) {
+			p.Claimed(now, claim.Attempt, true, claim.Row, views)
+			for _, v := range views {
+				p.Fenced(now, claim.Attempt, v.Name, false, sequencer.Report{Promised: 7}, views)
+			}
+		},
+		"the server refused the promotion": func(p *promoter.Promoter, now timekeeper.Millis, claim promoter.Claim, views []promoter.View) {
+			p.Claimed(now, claim.Attempt, true, claim.Row, views)
+			for _, v := range views[1:] {
+				p.Fenced(now, claim.Attempt, v.Name, true, v.Report, views)
+			}
+			p.Tick(now+500, views, 0)
+			p.Promoted(now+500, claim.Attempt, false, sequencer.Report{Promised: 9}, views)
+		},
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPromoter()
+			views := deadPrimary()
+			now, claim := lead(t, p, views)
+			act(p, now, claim, views)
+			if p.Busy() {
+				t.Fatal("the attempt goes on")
+			}
+			if _, next := lead(t, p, views); next.Row.Term <= claim.Row.Term {
+				t.Errorf("the next claim is of term %d, after %d", next.Row.Term, claim.Row.Term)
+			}
+		})
+	}
+}
+
+func TestPlatformSilent(t *testing.T) {
+	p := newPromoter()
+	views := deadPrimary()
+	now, _ := lead(t, p, views)
+	fences := 0
+	for _, c := range p.Tick(now+500, views, 0) {
+		if _, ok := c.(promoter.Fence); ok {
+			fences++
+		}
+	}
+	if fences != 3 {
+		t.Errorf("%d fences while the platform is silent, want 3", fences)
+	}
+}
+
+func TestHandOver(t *testing.T) {
+	leaving := func(held sequencer.Position) []promoter.View {
+		p := primaryView(10_000, true)
+		p.Leaving = true
+		return []promoter.View{p, replicaView("a", 10_000, 50, held), replicaView("b", 10_000, 50, held)}
+	}
+	p := newPromoter()
+	if out := p.Tick(10_000, leaving(pos(1, 8)), 1); len(out) != 0 || !p.Draining() {
+		t.Fatalf("with a write in progress: got %v, draining %v, want writes held back", out, p.Draining())
+	}
+	if out := p.Tick(10_020, leaving(pos(1, 8)), 0); len(out) != 0 {
+		t.Fatalf("before a replica has caught up: got %v", out)
+	}
+	if out := p.Tick(10_040, leaving(pos(1, 9)), 0); len(out) != 1 {
+		t.Fatalf("with a replica that has caught up: got %v, want a claim", out)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -236,6 +236,7 @@
 	out.Overdue = s.Times.Overdue
 	out.CatchUp = s.Times.Catchup
 	out.Silence = s.Times.Silence
+	out.Keep = s.Times.Ledger
 	if d.Acknowledge == configurer.AcknowledgePrimary {
 		out.Need = 1
 	}
--- /dev/null
+++ b/scheduler/queue_test.go
@@ -0,0 +1,215 @@
+package scheduler_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+var anyLane = [2]bool{true, true}
+
+func fitsAll(scheduler.Item) bool { return true }
+
+func item(id, customer string, rank scheduler.Rank) scheduler.Item {
+	return scheduler.Item{ID: id, Customer: customer, Rank: rank, Lane: scheduler.LaneAny, Cost: 1, Deadline: 1 << 40}
+}
+
+// backlogged returns a queue in which each rank always has work, and a function
+// that serves n items and counts them by rank.
+func backlogged(t *testing.T, ranks ...scheduler.Rank) func(n int) [scheduler.Ranks]int {
+	t.Helper()
+	q := scheduler.New(scheduler.DefaultClasses(), 1<<20)
+	next := 0
+	push := func(rank scheduler.Rank) {
+		next++
+		if err := q.Push(0, item(fmt.Sprint(next), "c", rank)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return func(n int) [scheduler.Ranks]int {
+		var served [scheduler.Ranks]int
+		for range n {
+			for _, rank := range ranks {
+				for q.Len(rank) < 5 {
+					push(rank)
+				}
+			}
+			got, found := q.Pop(anyLane, fitsAll)
+			if !found {
+				t.Fatal("nothing to serve")
+			}
+			served[got.Rank]++
+			q.Done(got, 1)
+		}
+		return served
+	}
+}
+
+func TestShares(t *testing.T) {
+	all := []scheduler.Rank{scheduler.RankUrgent, scheduler.RankStandard, scheduler.RankBrowse}
+	tests := map[string]struct {
+		ranks []scheduler.Rank
+		want  [scheduler.Ranks]int
+	}{
+		"all ranks wait":        {all, [scheduler.Ranks]int{700, 200, 100}},
+		"urgent and browse":     {[]scheduler.Rank{scheduler.RankUrgent, scheduler.RankBrowse}, [scheduler.Ranks]int{900, 0, 100}},
+		"standard and browse":   {[]scheduler.Rank{scheduler.RankStandard, scheduler.RankBrowse}, [scheduler.Ranks]int{0, 900, 100}},
+		"browse has all unused": {[]scheduler.Rank{scheduler.RankBrowse}, [scheduler.Ranks]int{0, 0, 1000}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			served := backlogged(t, test.ranks...)(1000)
+			for rank, want := range test.want {
+				if got := served[rank]; got < want-10 || got > want+10 {
+					t.Errorf("rank %v got %d of 1000, want %d", scheduler.Rank(rank), got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestFairBetweenCustomers(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultClasses(), 1<<20)
+	for i := range 900 {
+		if err := q.Push(0, item(fmt.Sprint("greedy", i), "greedy", scheduler.RankBrowse)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 50 {
+		if err := q.Push(0, item(fmt.Sprint("modest", i), "modest", scheduler.RankBrowse)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	modest := 0
+	for range 100 {
+		got, _ := q.Pop(anyLane, fitsAll)
+		if got.Customer == "modest" {
+			modest++
+		}
+		q.Done(got, 1)
+	}
+	if modest < 45 {
+		t.Errorf("the modest customer got %d of the first 100, want its fair 50", modest)
+	}
+}
+
+func TestRefusedEarly(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultClasses(), 1<<20)
+	late := scheduler.Item{ID: "x", Customer: "c", Cost: 10, Deadline: 100}
+	var refused *scheduler.Error
+	for i := range 100 {
+		late.ID = fmt.Sprint(i)
+		if err := q.Push(0, late); errors.As(err, &refused) {
+			break
+		}
+	}
+	if refused == nil || refused.Kind != scheduler.KindOverload || refused.RetryAfter <= 0 {
+		t.Fatalf("refusal: got %v, want an overload with a time to retry", refused)
+	}
+	if waiting := q.Total(); waiting < 9 || waiting > 11 {
+		t.Errorf("%d items of 10 ms wait before a deadline of 100 ms, want 10", waiting)
+	}
+}
+
+func TestLanesApart(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultClasses(), 1<<20)
+	for i := range 50 {
+		if err := q.Push(0, scheduler.Item{ID: fmt.Sprint(i), Rank: scheduler.RankUrgent, Cost: 1, Deadline: 100}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read := scheduler.Item{ID: "read", Rank: scheduler.RankBrowse, Lane: scheduler.LaneAny, Cost: 1, Deadline: 10}
+	if err := q.Push(0, read); err != nil {
+		t.Errorf("a read that replicas can run was refused for the primary's backlog: %v", err)
+	}
+}
+
+func TestCustomerLimit(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultClasses(), 100)
+	for i := range 3 {
+		limited := item(fmt.Sprint(i), "c", scheduler.RankUrgent)
+		limited.Limit = 2
+		if err := q.Push(0, limited); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first, _ := q.Pop(anyLane, fitsAll)
+	if _, found := q.Pop(anyLane, fitsAll); !found {
+		t.Fatal("the second statement was held back")
+	}
+	if _, found := q.Pop(anyLane, fitsAll); found {
+		t.Fatal("a third statement started beyond the limit of 2")
+	}
+	q.Done(first, 1)
+	if _, found := q.Pop(anyLane, fitsAll); !found {
+		t.Fatal("the third statement was held back after one had ended")
+	}
+}
+
+// TestQueueKeepsItems checks that each item comes out once, whatever the order
+// of calls.
+func TestQueueKeepsItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := scheduler.New(scheduler.DefaultClasses(), 50)
+		waiting := map[string]bool{}
+		var running []scheduler.Item
+		now := timekeeper.Millis(0)
+		leave := func(id string) {
+			if !waiting[id] {
+				t.Fatalf("%s came out but was not waiting", id)
+			}
+			delete(waiting, id)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				i := scheduler.Item{
+					ID:       fmt.Sprint(rapid.Int64().Draw(t, "id")),
+					Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+					Rank:     scheduler.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+					Lane:     scheduler.Lane(rapid.IntRange(0, 1).Draw(t, "lane")),
+					Cost:     float64(rapid.IntRange(1, 20).Draw(t, "cost")),
+					Deadline: now + timekeeper.Millis(rapid.IntRange(0, 300).Draw(t, "deadline")),
+					Limit:    rapid.IntRange(0, 2).Draw(t, "limit"),
+				}
+				if !waiting[i.ID] && q.Push(now, i) == nil {
+					waiting[i.ID] = true
+				}
+			},
+			"pop": func(t *rapid.T) {
+				open := [2]bool{rapid.Bool().Draw(t, "primary"), rapid.Bool().Draw(t, "any")}
+				if i, found := q.Pop(open, func(scheduler.Item) bool { return rapid.Bool().Draw(t, "fits") }); found {
+					leave(i.ID)
+					running = append(running, i)
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(running) > 0 {
+					q.Done(running[0], float64(rapid.IntRange(0, 30).Draw(t, "took")))
+					running = running[1:]
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now += timekeeper.Millis(rapid.IntRange(0, 100).Draw(t, "passed"))
+				for _, i := range q.Expire(now) {
+					leave(i.ID)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Total() != len(waiting) {
+					t.Fatalf("the queue holds %d items, want %d", q.Total(), len(waiting))
+				}
+			},
+		})
+		for _, i := range q.Drain() {
+			leave(i.ID)
+		}
+		if len(waiting) > 0 {
+			t.Fatalf("items never came out: %v", waiting)
+		}
+	})
+}
--- /dev/null
+++ b/sessioner/token_test.go
@@ -0,0 +1,100 @@
+package sessioner_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/sessioner"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+var (
+	oldKey = sessioner.Key{Name: "old", Secret: []byte("0123456789abcdef")}
+	newKey = sessioner.Key{Name: "new", Secret: []byte("fedcba9876543210")}
+)
+
+func signer(t *testing.T, keys ...sessioner.Key) *sessioner.Signer {
+	t.Helper()
+	s, err := sessioner.NewSigner(keys, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestToken(t *testing.T) {
+	session := sessioner.New().WithFloor("db", sequencer.Position{Term: 4, Offset: 1182})
+	token, err := signer(t, oldKey).Token(100, "coop", session)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts := strings.Split(token, ".")
+	tests := map[string]struct {
+		keys     []sessioner.Key
+		customer string
+		token    string
+		now      int64
+		want     sessioner.Kind
+	}{
+		"good":                 {[]sessioner.Key{oldKey}, "coop", token, 200, ""},
+		"key replaced":         {[]sessioner.Key{newKey, oldKey}, "coop", token, 200, ""},
+		"key withdrawn":        {[]sessioner.Key{newKey}, "coop", token, 200, sessioner.KindAltered},
+		"other customer":       {[]sessioner.Key{oldKey}, "parish", token, 200, sessioner.KindAltered},
+		"expired":              {[]sessioner.Key{oldKey}, "coop", token, 1101, sessioner.KindExpired},
+		"body altered":         {[]sessioner.Key{oldKey}, "coop", parts[0] + "A." + parts[1] + "." + parts[2], 200, sessioner.KindAltered},
+		"not a token":          {[]sessioner.Key{oldKey}, "coop", "x", 200, sessioner.KindInvalid},
+		"key of another token": {[]sessioner.Key{oldKey, newKey}, "coop", parts[0] + ".new." + parts[2], 200, sessioner.KindAltered},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := signer(t, test.keys...).Session(timekeeper.Millis(test.now), test.customer, test.token)
+			var e *sessioner.Error
+			if test.want != "" {
+				if !errors.As(err, &e) || e.Kind != test.want {
+					t.Fatalf("got error %v, want kind %s", err, test.want)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			floor, known := got.Floor("db")
+			if floor.Offset != 1182 || !known {
+				t.Errorf("floor: got %v, known %v", floor, known)
+			}
+			if _, known := got.Floor("other"); !known {
+				t.Error("a token's session is not known in a database that it did not use")
+			}
+		})
+	}
+}
+
+func ExampleSession_WithFloor() {
+	s := sessioner.New()
+	s = s.WithFloor("ledger", sequencer.Position{Term: 4, Offset: 7})
+	s = s.WithFloor("ledger", sequencer.Position{Term: 4, Offset: 3})
+	floor, known := s.Floor("ledger")
+	fmt.Println(floor, known)
+	_, known = s.Floor("catalogue")
+	fmt.Println(known)
+	// Output:
+	// 4/7 true
+	// false
+}
+
+func FuzzSession(f *testing.F) {
+	s, err := sessioner.NewSigner([]sessioner.Key{oldKey}, 1000)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("a.b.c")
+	f.Add("..")
+	f.Fuzz(func(t *testing.T, token string) {
+		if _, err := s.Session(0, "coop", token); err == nil {
+			t.Errorf("accepted %q", token)
+		}
+	})
+}
