--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,244 @@
+package emulator_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/goleak"
+
+	"github.com/heatherhall/heatherhall/emulator"
+	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/scheduler"
+)
+
+const password = "market-day"
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func start(t *testing.T, network int) *emulator.Emulation {
+	t.Helper()
+	verifier, err := planner.NewVerifier("coop", password, "salt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := emulator.New(context.Background(), emulator.Coop(), emulator.Options{
+		Network: network,
+		Log:     io.Discard,
+		Lists: planner.File{
+			Plans: []planner.Plan{
+				{Name: "gold", Databases: []string{"*"}},
+				{Name: "visit", Databases: []string{"db1"}, Rank: scheduler.RankBrowse, Connections: 1},
+			},
+			Customers: []planner.Customer{
+				{Name: "coop", Plan: "gold", Verifier: verifier.String()},
+				{Name: "visitor", Plan: "visit", Verifier: verifier.String()},
+			},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	return e
+}
+
+func connect(t *testing.T, e *emulator.Emulation, daemon int, customer, database, secret, token string) (*pgx.Conn, error) {
+	t.Helper()
+	config, err := pgx.ParseConfig("postgres://" + customer + ":" + secret + "@" + e.Daemons[daemon].Address + "/" + database + "?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if token != "" {
+		config.RuntimeParams["heatherhall.session"] = token
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	conn, err := pgx.ConnectConfig(ctx, config)
+	if err == nil {
+		t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	}
+	return conn, err
+}
+
+func mustConnect(t *testing.T, e *emulator.Emulation, daemon int) *pgx.Conn {
+	t.Helper()
+	conn, err := connect(t, e, daemon, "coop", "db0", password, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// codeOf returns the SQLSTATE of an error.
+func codeOf(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func TestExtendedProtocol(t *testing.T) {
+	e := start(t, 22)
+	ctx := context.Background()
+	conn := mustConnect(t, e, 0)
+	exec := func(sql string, args ...any) {
+		t.Helper()
+		if _, err := conn.Exec(ctx, sql, args...); err != nil {
+			t.Fatalf("%s: %v", sql, err)
+		}
+	}
+	exec("CREATE TABLE coins (id text PRIMARY KEY, owner text)")
+	// The statement is prepared once and runs on several pooled connections.
+	for _, id := range []string{"a", "b", "c"} {
+		exec("/*rank='settlement'*/ INSERT INTO coins (id, owner) VALUES ($1, $2)", id, "member")
+	}
+	var owner string
+	if err := conn.QueryRow(ctx, "SELECT owner FROM coins WHERE id = $1", "b").Scan(&owner); err != nil || owner != "member" {
+		t.Errorf("got %q, %v", owner, err)
+	}
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "UPDATE coins SET owner = $1 WHERE id = $2", "parish", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := tx.Commit(ctx); err != nil {
+		t.Fatal(err)
+	}
+	batch := &pgx.Batch{}
+	batch.Queue("SELECT owner FROM coins WHERE id = $1", "a")
+	batch.Queue("SELECT id FROM coins WHERE owner = $1", "parish")
+	results := conn.SendBatch(ctx, batch)
+	for range 2 {
+		var value string
+		if err := results.QueryRow().Scan(&value); err != nil || value == "" {
+			t.Errorf("batch: got %q, %v", value, err)
+		}
+	}
+	if err := results.Close(); err != nil {
+		t.Error(err)
+	}
+	other, err := connect(t, e, 2, "coop", "db0", password, conn.PgConn().ParameterStatus("heatherhall.session"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := other.QueryRow(ctx, "SELECT owner FROM coins WHERE id = $1", "a").Scan(&owner); err != nil || owner != "parish" {
+		t.Errorf("through another daemon: got %q, %v", owner, err)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	e := start(t, 23)
+	ctx := context.Background()
+	good := mustConnect(t, e, 0)
+	if _, err := good.Exec(ctx, "CREATE TABLE coins (id text PRIMARY KEY)"); err != nil {
+		t.Fatal(err)
+	}
+	statements := map[string]struct{ sql, code string }{
+		"unknown rank":          {"/*rank='first'*/ SELECT 1", "22023"},
+		"listen":                {"LISTEN x", "0A000"},
+		"copy":                  {"COPY coins FROM STDIN", "0A000"},
+		"session setting":       {"SET work_mem = '1GB'", "0A000"},
+		"altered token":         {"SET heatherhall.session = 'a.b.c'", "HH010"},
+		"syntax":                {"SELEC 1", "42601"},
+		"no such table":         {"SELECT * FROM nothing", "42P01"},
+		"key on a whole batch":  {"/*request='x'*/ BEGIN; INSERT INTO coins VALUES ('x'); COMMIT", "HH004"},
+		"too large a statement": {"SELECT '" + strings.Repeat("x", 17<<20) + "'", "54000"},
+	}
+	for name, test := range statements {
+		t.Run(name, func(t *testing.T) {
+			conn := mustConnect(t, e, 1)
+			_, err := conn.PgConn().Exec(ctx, test.sql).ReadAll()
+			if codeOf(err) != test.code && (test.code != "54000" || err == nil) {
+				t.Errorf("got %v, want %s", err, test.code)
+			}
+		})
+	}
+	connections := map[string]struct{ customer, database, secret, token, code string }{
+		"wrong password":        {"coop", "db0", "x", "", "28P01"},
+		"unknown customer":      {"nobody", "db0", password, "", "28P01"},
+		"unknown database":      {"coop", "db9", password, "", "3D000"},
+		"database not in plan":  {"visitor", "db0", password, "", "42501"},
+		"token of someone else": {"coop", "db0", password, "a.b.c", "HH010"},
+	}
+	for name, test := range connections {
+		t.Run(name, func(t *testing.T) {
+			_, err := connect(t, e, 1, test.customer, test.database, test.secret, test.token)
+			if codeOf(err) != test.code {
+				t.Errorf("got %v, want %s", err, test.code)
+			}
+		})
+	}
+	t.Run("connections of a plan", func(t *testing.T) {
+		if _, err := connect(t, e, 1, "visitor", "db1", password, ""); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := connect(t, e, 1, "visitor", "db1", password, ""); codeOf(err) != "53300" {
+			t.Errorf("got %v, want 53300", err)
+		}
+	})
+	// One caller's fault reaches no other.
+	if _, err := good.Exec(ctx, "SELECT id FROM coins"); err != nil {
+		t.Errorf("another caller: %v", err)
+	}
+}
+
+func TestCancelThroughAnyDaemon(t *testing.T) {
+	e := start(t, 24)
+	for _, daemon := range []int{0, 1, 2, 3} {
+		conn := mustConnect(t, e, daemon)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := conn.PgConn().Exec(context.Background(), "SELECT pg_sleep(20)").ReadAll()
+			failed <- err
+		}()
+		cancelled := false
+		for !cancelled {
+			// A key may go to any daemon behind the balancer.
+			other, err := pgconn.ParseConfig("postgres://coop:x@" + e.Daemons[(daemon+1)%4].Address + "/db0?sslmode=disable")
+			if err != nil {
+				t.Fatal(err)
+			}
+			sendCancel(t, other, conn.PgConn())
+			select {
+			case err := <-failed:
+				if codeOf(err) != "57014" {
+					t.Errorf("got %v, want 57014", err)
+				}
+				cancelled = true
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// sendCancel sends the cancel request of a connection to another address.
+func sendCancel(t *testing.T, config *pgconn.Config, of *pgconn.PgConn) {
+	t.Helper()
+	request, err := (&pgproto3.CancelRequest{ProcessID: of.PID(), SecretKey: of.SecretKey()}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", net.JoinHostPort(config.Host, strconv.Itoa(int(config.Port))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = conn.Read(make([]byte, 1))
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -48,9 +48,11 @@
 	Hangup func(caller uint64)
 	// Cancel takes a cancel request. Its key names the caller's daemon and
 	// connection.
-	Cancel     func(key decider.KeyMail)
-	Lists      func() planner.Lists
-	Ready      func() bool
+	Cancel func(key decider.KeyMail)
+	Lists  func() planner.Lists
+	Ready  func() bool
+	// Databases are the databases that exist.
+	Databases  map[string]bool
 	Signer     *sessioner.Signer
 	Classifier *classifier.Classifier
 	Clock      timekeeper.Clock
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -112,6 +112,9 @@
 	if !known {
 		return denied()
 	}
+	if !deps.Databases[c.database] {
+		return &Error{Op: "start", Kind: KindDenied, Code: decider.CodeDatabase, Text: "database " + c.database + " does not exist"}
+	}
 	if !plan.Allows(c.database) {
 		return &Error{Op: "start", Kind: KindDenied, Code: codeDenied, Text: "the plan " + plan.Name + " may not use database " + c.database}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -271,6 +271,7 @@
 		Cancel:     r.cancel,
 		Lists:      r.currentLists,
 		Ready:      r.Ready,
+		Databases:  r.databaseNames(),
 		Signer:     signer,
 		Classifier: classifier.New(),
 		Clock:      r.clock,
@@ -281,6 +282,14 @@
 	}
 }
 
+func (r *Runner) databaseNames() map[string]bool {
+	names := map[string]bool{}
+	for name := range r.targets {
+		names[name] = true
+	}
+	return names
+}
+
 // Address returns the address that takes callers.
 func (r *Runner) Address() string {
 	return r.listener.Address()
