--- a/decider/command.go
+++ b/decider/command.go
@@ -180,6 +180,6 @@
 type Seams struct {
 	// Log writes a line; nil writes none.
 	Log func(format string, args ...any)
-	// Invariant is told of each check that must hold.
-	Invariant func(holds bool, format string, args ...any)
+	// Violated is told of each check inside the program that failed.
+	Violated func(format string, args ...any)
 }
--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -204,10 +204,8 @@
 		Log: func(format string, args ...any) {
 			w.log("%d %s: "+format, append([]any{w.now, name}, args...)...)
 		},
-		Invariant: func(holds bool, format string, args ...any) {
-			if !holds {
-				w.failf(name+": invariant: "+format, args...)
-			}
+		Violated: func(format string, args ...any) {
+			w.failf(name+": invariant: "+format, args...)
 		},
 	})
 	w.tick(d)
--- a/decider/home.go
+++ b/decider/home.go
@@ -37,9 +37,9 @@
 	h := &home{
 		database: database,
 		dispatcher: dispatcher.New(n.settings.Databases[database], dispatcher.Deps{
-			NextConn:  n.nextConn,
-			Log:       n.seams.Log,
-			Invariant: n.seams.Invariant,
+			NextConn: n.nextConn,
+			Log:      n.seams.Log,
+			Violated: n.seams.Violated,
 		}),
 		promoter: promoter.New(n.settings.Promoter, database, n.settings.Self.Name, n.seams.Log),
 		since:    now,
--- a/decider/peer.go
+++ b/decider/peer.go
@@ -101,8 +101,8 @@
 }
 
 func (n *Node) setLists(lists planner.Lists) {
-	if n.seams.Invariant != nil {
-		n.seams.Invariant(lists.Version() >= n.lists.Version(), "planner: lists went back from %d to %d", n.lists.Version(), lists.Version())
+	if lists.Version() < n.lists.Version() && n.seams.Violated != nil {
+		n.seams.Violated("planner: lists went back from %d to %d", n.lists.Version(), lists.Version())
 	}
 	n.lists = lists
 	n.heard = true
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -162,7 +162,9 @@
 	if j == nil {
 		return
 	}
-	d.invariant(d.tracker.Covered(commit.At), "acknowledger: %s acknowledged at %v without a majority", commit.ID, commit.At)
+	if !d.tracker.Covered(commit.At) {
+		d.violated("acknowledger: %s acknowledged at %v without a majority", commit.ID, commit.At)
+	}
 	// The position handed out is one of the term in which a majority holds the
 	// commit, so that a later reader can tell it from a lost one.
 	j.outcome.Position = commit.At
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/heatherhall/heatherhall/acknowledger"
-	"github.com/heatherhall/heatherhall/deduplicator"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/router"
 	"github.com/heatherhall/heatherhall/scheduler"
@@ -132,11 +131,17 @@
 		d.askAll(now)
 		return
 	}
-	if d.park(now, j) {
+	d.admit(now, j)
+}
+
+// admit parks or queues a unit of work whose floor is known.
+func (d *Dispatcher) admit(now timekeeper.Millis, j *job) {
+	lane := d.laneOf(now, j)
+	if lane != j.work.lane() && d.park(now, j) {
 		d.parked[j.work.ID] = j
 		return
 	}
-	d.enqueue(now, j)
+	d.enqueue(now, j, lane)
 }
 
 // resolveFloor sets the floor of a read that asks for a barrier or an age. It
@@ -154,15 +159,11 @@
 
 // park lets a read wait for a replica that is about to cover its floor.
 func (d *Dispatcher) park(now timekeeper.Millis, j *job) bool {
-	if j.work.lane() != scheduler.LaneAny || j.phase == phaseParked || d.settings.Primary {
-		return false
-	}
-	candidates := d.candidates(now, j.work.Rank)
-	if router.CoveredByReplica(candidates, d.need(j)) {
+	if j.phase == phaseParked || d.settings.Primary {
 		return false
 	}
 	seen := now - d.progress.seen(j.floor.Offset, now)
-	wait, known := router.CatchUp(candidates, seen)
+	wait, known := router.CatchUp(d.candidates(now, j.work.Rank), seen)
 	if !known || wait > d.settings.CatchUp {
 		return false
 	}
@@ -178,13 +179,13 @@
 }
 
 // enqueue puts a unit of work into the queue or refuses it.
-func (d *Dispatcher) enqueue(now timekeeper.Millis, j *job) {
+func (d *Dispatcher) enqueue(now timekeeper.Millis, j *job, lane scheduler.Lane) {
 	j.phase = phaseQueued
 	j.item = scheduler.Item{
 		ID:       j.work.ID,
 		Customer: j.work.Customer,
 		Rank:     j.work.Rank,
-		Lane:     d.laneOf(now, j),
+		Lane:     lane,
 		Cost:     d.costs[j.work.Rank],
 		Deadline: d.deadline(now, j),
 		Limit:    j.work.Limit,
@@ -204,7 +205,7 @@
 	if j.work.lane() == scheduler.LanePrimary || d.settings.Primary {
 		return scheduler.LanePrimary
 	}
-	if router.CoveredByReplica(d.candidates(now, j.work.Rank), d.need(j)) {
+	if d.covered(now, j) {
 		return scheduler.LaneAny
 	}
 	return scheduler.LanePrimary
@@ -284,13 +285,15 @@
 		if !open[scheduler.LanePrimary] && !open[scheduler.LaneAny] {
 			break
 		}
+		var chosen *server
 		item, found := d.queue.Pop(open, func(item scheduler.Item) bool {
-			return d.choose(now, item) != nil
+			chosen = d.choose(now, item)
+			return chosen != nil
 		})
 		if !found {
 			break
 		}
-		d.start(now, d.jobs[item.ID], d.choose(now, item))
+		d.start(now, d.jobs[item.ID], chosen)
 	}
 	d.preempt()
 	d.connect(now)
@@ -312,10 +315,10 @@
 // start sends a unit of work to a server.
 func (d *Dispatcher) start(now timekeeper.Millis, j *job, s *server) {
 	conn, ready := s.pool.Take(j.work.Rank)
-	d.invariant(ready, "dispatcher: %s chose %s without a free connection", j.work.ID, s.Name)
 	if !ready {
+		d.violated("dispatcher: %s chose %s without a free connection", j.work.ID, s.Name)
 		d.queue.Done(j.item, 0)
-		d.enqueue(now, j)
+		d.admit(now, j)
 		return
 	}
 	if d.deps.Log != nil {
@@ -336,16 +339,17 @@
 		Customer: j.work.Customer,
 		Key:      j.work.Key,
 		Digest:   j.work.Digest,
-		Made:     deduplicator.Made(now),
+		Made:     j.made(now),
 		Begin:    j.work.Begin,
 		Payload:  j.work.Payload,
 		SQL:      j.work.SQL,
 	})
 }
 
-func (d *Dispatcher) invariant(holds bool, format string, args ...any) {
-	if d.deps.Invariant != nil {
-		d.deps.Invariant(holds, format, args...)
+// violated reports a check inside the program that failed.
+func (d *Dispatcher) violated(format string, args ...any) {
+	if d.deps.Violated != nil {
+		d.deps.Violated(format, args...)
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -46,10 +46,8 @@
 	last := pooler.Conn(0)
 	b.d = dispatcher.New(settings, dispatcher.Deps{
 		NextConn: func() pooler.Conn { last++; return last },
-		Invariant: func(holds bool, format string, args ...any) {
-			if !holds {
-				t.Errorf("invariant: "+format, args...)
-			}
+		Violated: func(format string, args ...any) {
+			t.Errorf("invariant: "+format, args...)
 		},
 	})
 	b.do(b.d.Tick(b.now))
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"github.com/heatherhall/heatherhall/deduplicator"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/sequencer"
@@ -56,6 +57,14 @@
 	outcome Outcome
 }
 
+// made returns the time of keyed work as the ledger keeps it.
+func (j *job) made(now timekeeper.Millis) string {
+	if j.work.Key == "" {
+		return ""
+	}
+	return deduplicator.Made(now)
+}
+
 // holdsSlot reports whether the job counts as running on its server.
 func (j *job) holdsSlot() bool {
 	return j.phase == phaseRunning
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -85,8 +85,9 @@
 	if report.History.Term() < d.history.Term() || s == d.primary && report.History.Term() == d.history.Term() {
 		return
 	}
-	d.invariant(d.primary == nil || report.History.Term() > d.history.Term(),
-		"promoter: %s and %s are both primary in term %d", s.Name, nameOf(d.primary), report.History.Term())
+	if d.primary != nil && report.History.Term() == d.history.Term() {
+		d.violated("promoter: %s and %s are both primary in term %d", s.Name, d.primary.Name, report.History.Term())
+	}
 	d.logf("router: %s is the primary of %s in term %d, from offset %d",
 		s.Name, d.settings.Database, report.History.Term(), report.History.Start())
 	d.history = report.History
@@ -96,13 +97,6 @@
 	d.changeTerm(now)
 }
 
-func nameOf(s *server) string {
-	if s == nil {
-		return "no server"
-	}
-	return s.Name
-}
-
 // changeTerm decides on the commits that wait, once a new term is known.
 func (d *Dispatcher) changeTerm(now timekeeper.Millis) {
 	for _, commit := range d.tracker.Advance(d.history) {
@@ -157,11 +151,7 @@
 // unpark puts a read that has waited into the queue.
 func (d *Dispatcher) unpark(now timekeeper.Millis, j *job) {
 	delete(d.parked, j.work.ID)
-	if j.phase == phaseBarrier && d.park(now, j) {
-		d.parked[j.work.ID] = j
-		return
-	}
-	d.enqueue(now, j)
+	d.admit(now, j)
 }
 
 // Missed tells that a server did not answer question number.
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -80,6 +80,6 @@
 	NextConn func() pooler.Conn
 	// Log writes a decision's line; nil writes none.
 	Log func(format string, args ...any)
-	// Invariant is told of each check that must hold.
-	Invariant func(holds bool, format string, args ...any)
+	// Violated is told of each check inside the program that failed.
+	Violated func(format string, args ...any)
 }
--- a/dispatcher/tick.go
+++ b/dispatcher/tick.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		if item.Lane == scheduler.LanePrimary && d.deadline(now, j) > now {
-			d.enqueue(now, j)
+			d.enqueue(now, j, d.laneOf(now, j))
 			continue
 		}
 		code := CodeOverload
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -47,6 +47,8 @@
 	dir     string
 	environ []string
 	token   string
+	// stopped is the process that was frozen last.
+	stopped string
 
 	mu        sync.Mutex
 	processes map[string]*exec.Cmd
--- a/load_test.go
+++ b/load_test.go
@@ -183,8 +183,10 @@
 // check compares the callers' knowledge with the rows of the database.
 func (l *load) check(ts *testscript.TestScript) error {
 	rows := map[string]bool{}
+	tries := 0
 	err := await("the final read", func() error {
-		out, err := l.fleet.sql([]string{"h2", "db0", "SELECT id FROM settlements"})
+		tries++
+		out, err := l.fleet.sql([]string{"h" + strconv.Itoa(1+tries%daemons), "db0", "SELECT id FROM settlements"})
 		for _, id := range strings.Fields(out) {
 			rows[id] = true
 		}
--- a/router/router.go
+++ b/router/router.go
@@ -93,14 +93,3 @@
 	}
 	return best, known
 }
-
-// CoveredByReplica reports whether any usable replica covers the floor, free or
-// not.
-func CoveredByReplica(candidates []Candidate, need Need) bool {
-	for _, c := range candidates {
-		if c.Usable && !c.Primary && need.Covers(c) {
-			return true
-		}
-	}
-	return false
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -123,7 +123,7 @@
 	if tune != nil {
 		tune(&decisions)
 	}
-	r.node = decider.New(decisions, decider.Seams{Log: r.decisionLog(), Invariant: r.invariant})
+	r.node = decider.New(decisions, decider.Seams{Log: r.decisionLog(), Violated: r.violated})
 	r.relayer, err = relayer.New(settings.Host.Name, settings.Host.Peer, []byte(secret), relayer.Handlers{
 		Mailed: r.mailed,
 		Probed: r.probed,
@@ -250,11 +250,8 @@
 	return r.log.Infof
 }
 
-// invariant counts and logs a check that failed.
-func (r *Runner) invariant(holds bool, format string, args ...any) {
-	if holds {
-		return
-	}
+// violated counts and logs a check inside the program that failed.
+func (r *Runner) violated(format string, args ...any) {
 	r.metrics.Invariants.Inc()
 	r.log.Errorf("invariant: "+format, args...)
 }
--- a/scripts_test.go
+++ b/scripts_test.go
@@ -68,11 +68,25 @@
 	ts.Check(scriptFleet(ts).start(ts))
 }
 
-// cmdSend sends a signal to a process: send TERM h1. After TERM it waits for the
-// process and checks that it exits with 0.
+// cmdSend sends a signal to a process: send TERM h1, or send KILL home:db0 for the
+// daemon that is the home of a database, or send CONT stopped for the one stopped
+// last. After TERM it waits for the process and
+// checks that it exits with 0.
 func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]os.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
-	ts.Check(scriptFleet(ts).signal(args[1], signals[args[0]]))
+	name := args[1]
+	if name == "stopped" {
+		name = scriptFleet(ts).stopped
+	}
+	if database, found := strings.CutPrefix(name, "home:"); found {
+		home, _, err := scriptFleet(ts).homeOf(database)
+		ts.Check(err)
+		name = home
+	}
+	if args[0] == "STOP" {
+		scriptFleet(ts).stopped = name
+	}
+	ts.Check(scriptFleet(ts).signal(name, signals[args[0]]))
 }
 
 // cmdRestart shuts a daemon down gracefully and starts it again: restart h1.
@@ -145,6 +159,12 @@
 
 // primary returns the name of a database's primary, as its home tells.
 func (f *fleet) primary(args []string) (string, error) {
+	_, primary, err := f.homeOf(args[0])
+	return primary, err
+}
+
+// homeOf returns the home of a database and the primary that it knows.
+func (f *fleet) homeOf(database string) (home, primary string, err error) {
 	for i := range daemons {
 		var status decider.Status
 		response, err := http.Get("http://" + f.ip(1, i+1) + ":9100/status")
@@ -154,15 +174,15 @@
 		err = json.NewDecoder(response.Body).Decode(&status)
 		_ = response.Body.Close()
 		if err != nil {
-			return "", err
+			return "", "", err
 		}
 		for _, d := range status.Databases {
-			if d.Name == args[0] && d.Home == status.Host {
-				return d.Primary, nil
+			if d.Name == database && d.Home == status.Host {
+				return d.Home, d.Primary, nil
 			}
 		}
 	}
-	return "", errors.New("no daemon is the home of " + args[0])
+	return "", "", errors.New("no daemon is the home of " + database)
 }
 
 // sql runs one statement over a new connection.
