--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -38,9 +38,6 @@
 				took = a.Took
 				d.costs[j.work.Rank] += smoothing * (took - d.costs[j.work.Rank])
 				j.server.took(took)
-				if j.work.Rank == scheduler.RankUrgent && j.server == d.primary {
-					d.reserve.took(took)
-				}
 			}
 			d.queue.Done(j.item, took)
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -63,7 +63,6 @@
 	costs   [scheduler.Ranks]float64
 	share   int
 	scratch []router.Candidate
-	reserve reserve
 }
 
 // New returns a dispatcher that knows nothing yet of its servers' state.
@@ -90,7 +89,7 @@
 		d.costs[i] = serviceGuess
 	}
 	for _, s := range settings.Servers {
-		added := &server{Server: s, pool: pooler.New(s.Connections, s.Slots+1, deps.NextConn), service: serviceGuess}
+		added := &server{Server: s, pool: pooler.New(s.Connections, deps.NextConn), service: serviceGuess}
 		d.servers = append(d.servers, added)
 		d.byName[s.Name] = added
 	}
@@ -250,9 +249,7 @@
 func (d *Dispatcher) candidates(now timekeeper.Millis, rank scheduler.Rank) []router.Candidate {
 	d.scratch = d.scratch[:0]
 	for _, s := range d.servers {
-		c := s.candidate(now, d.settings.Silence, s == d.primary, rank)
-		c.Free -= d.held(s, rank)
-		d.scratch = append(d.scratch, c)
+		d.scratch = append(d.scratch, s.candidate(now, d.settings.Silence, s == d.primary, rank))
 	}
 	return d.scratch
 }
--- a/dispatcher/tick.go
+++ b/dispatcher/tick.go
@@ -16,7 +16,6 @@
 			d.question(now, s)
 		}
 	}
-	d.updateReserve(now)
 	d.expire(now)
 	d.wake(now)
 	for _, j := range d.sorted() {
--- a/loader/experiment.go
+++ b/loader/experiment.go
@@ -59,10 +59,6 @@
 	Service timekeeper.Millis `json:"service,omitempty"`
 	Lag     timekeeper.Millis `json:"lag,omitempty"`
 	Ship    timekeeper.Millis `json:"ship,omitempty"`
-	// Daemons, Slots and Connections replace those of the size likewise.
-	Daemons     int `json:"daemons,omitempty"`
-	Slots       int `json:"slots,omitempty"`
-	Connections int `json:"connections,omitempty"`
 	// Limits replace the ranks' targets.
 	Limits  Limits   `json:"limits,omitzero"`
 	Streams []Stream `json:"streams"`
@@ -214,14 +210,5 @@
 	if x.Ship > 0 {
 		size.Ship = x.Ship
 	}
-	if x.Daemons > 0 {
-		size.Daemons = x.Daemons
-	}
-	if x.Slots > 0 {
-		size.Slots = x.Slots
-	}
-	if x.Connections > 0 {
-		size.Connections = x.Connections
-	}
 	return size
 }
