--- a/commander/bench.go
+++ b/commander/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -12,6 +13,10 @@
 	"github.com/heatherhall/heatherhall/loader"
 )
 
+// collectAt is the growth of the heap in percent at which it is collected: the
+// load's sessions, the daemons and the stand-ins share one heap.
+const collectAt = 400
+
 func benchCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "bench",
@@ -24,7 +29,8 @@
 			&cli.StringFlag{Name: "log", Usage: "write the daemons' logs to `FILE`"},
 			&cli.StringSliceFlag{Name: "target", Usage: "load the daemon at `IP:PORT` instead of an emulation; may be repeated"},
 			&cli.BoolFlag{Name: "compare", Usage: "set two saved reports side by side"},
-			&cli.BoolFlag{Name: "preempt", Usage: "cancel running browse reads for waiting urgent work"},
+			&cli.BoolFlag{Name: "keep", Usage: "leave running browse reads alone when urgent work waits"},
+			&cli.BoolFlag{Name: "decisions", Usage: "log each routing and placement decision"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Bool("compare") {
@@ -62,7 +68,8 @@
 	if c.IsSet("policy") {
 		x.Policy = c.String("policy")
 	}
-	x.Preempt = x.Preempt || c.Bool("preempt")
+	x.Keep = x.Keep || c.Bool("keep")
+	x.Decisions = x.Decisions || c.Bool("decisions")
 	x.Targets = append(x.Targets, c.StringSlice("target")...)
 	log := io.Discard
 	if name := c.String("log"); name != "" {
@@ -73,6 +80,7 @@
 		defer func() { _ = file.Close() }()
 		log = file
 	}
+	debug.SetGCPercent(collectAt)
 	report, err := loader.Run(ctx, x, log)
 	if err != nil {
 		return err
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -93,6 +93,7 @@
 			if err != nil {
 				return err
 			}
+			runner.LimitMemory()
 			return daemon.Run(stopSignal())
 		},
 	}
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -33,6 +33,9 @@
 	Databases []Database `json:"databases"`
 	// Ranks are the promises by rank.
 	Ranks Ranks `json:"ranks"`
+	// Preempt cancels running browse reads on a primary for urgent work that
+	// waits; the reads run again.
+	Preempt bool `json:"preempt"`
 	// Times are the daemon's time limits.
 	Times Times `json:"times"`
 	// Log is how much is logged.
@@ -150,6 +153,7 @@
 			Standard: classes[scheduler.RankStandard],
 			Browse:   classes[scheduler.RankBrowse],
 		},
+		Preempt: true,
 		Times: Times{
 			Hold:        6000,
 			Acknowledge: 8000,
--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -367,6 +367,15 @@
 		}
 	case dispatcher.Exec:
 		w.exec(d, command)
+	case dispatcher.CancelExec:
+		key := connKey{d, command.Conn}
+		if s := w.serverOf(key); s != nil {
+			w.deliver(d.name, s.name, func() {
+				if c := s.conns[key]; c != nil && c.running {
+					c.cancelled = true
+				}
+			}, nil)
+		}
 	case dispatcher.Ask:
 		w.question(d, command.Server, command.Number, nil)
 	case dispatcher.Watch:
@@ -508,8 +517,10 @@
 type conn struct {
 	running bool
 	silent  bool
-	open    []faker.Change
-	active  bool
+	// cancelled says that the running statement is to be cancelled.
+	cancelled bool
+	open      []faker.Change
+	active    bool
 }
 
 // server is a backend server: its log and what replication has in flight.
@@ -615,6 +626,10 @@
 	if err := json.Unmarshal(e.Payload, &b); err != nil {
 		s.world.failf("payload: %v", err)
 	}
+	if c.cancelled {
+		c.cancelled = false
+		return dispatcher.Answer{Reply: dispatcher.ReplyDone, Status: "I", Code: dispatcher.CodeCancelled}
+	}
 	at := s.log.Applied()
 	done := dispatcher.Answer{Reply: dispatcher.ReplyDone, Status: "I", Seen: at, Final: at}
 	ledgerKey := e.Customer + "/" + e.Key
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	schedules = flag.Int("schedules", 300, "number of random schedules")
+	schedules = flag.Int("schedules", 2000, "number of random schedules")
 	firstSeed = flag.Int64("seed", 1, "seed of the first schedule")
 	trace     = flag.Bool("trace", false, "print the decisions of each schedule")
 )
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -89,7 +89,7 @@
 		d.costs[i] = serviceGuess
 	}
 	for _, s := range settings.Servers {
-		added := &server{Server: s, pool: pooler.New(s.Connections, deps.NextConn), service: serviceGuess}
+		added := &server{Server: s, pool: pooler.New(s.Connections, s.Slots+1, deps.NextConn), service: serviceGuess}
 		d.servers = append(d.servers, added)
 		d.byName[s.Name] = added
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -47,6 +47,8 @@
 	doubtful bool
 	// preempted says that the statement was cancelled for more urgent work.
 	preempted bool
+	// preemptions counts how often that happened.
+	preemptions int
 	// cancelling says that the server was asked to cancel. The request may
 	// arrive late, so the connection is not used again.
 	cancelling bool
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -71,6 +71,7 @@
 		},
 		Silence: 900,
 		Keep:    86_400_000,
+		Preempt: true,
 	}
 }
 
--- a/dispatcher/transaction.go
+++ b/dispatcher/transaction.go
@@ -90,6 +90,10 @@
 	d.emit(CancelExec{Conn: j.conn})
 }
 
+// preemptionLimit is how often one read may be cancelled for urgent work; after
+// that it runs to its end.
+const preemptionLimit = 2
+
 // preempt cancels one running browse read on the primary for urgent work that
 // waits for it. The read runs again later.
 func (d *Dispatcher) preempt() {
@@ -104,12 +108,16 @@
 		if j.preempted {
 			return
 		}
+		if j.preemptions >= preemptionLimit {
+			continue
+		}
 		if latest == nil || j.sent > latest.sent || j.sent == latest.sent && j.work.ID > latest.work.ID {
 			latest = j
 		}
 	}
 	if latest != nil {
 		latest.preempted = true
+		latest.preemptions++
 		d.logf("scheduler: %s cancels %s on %s for urgent work", d.settings.Database, latest.work.ID, d.primary.Name)
 		d.cancel(latest)
 	}
--- a/loader/experiment.go
+++ b/loader/experiment.go
@@ -59,12 +59,18 @@
 	Service timekeeper.Millis `json:"service,omitempty"`
 	Lag     timekeeper.Millis `json:"lag,omitempty"`
 	Ship    timekeeper.Millis `json:"ship,omitempty"`
+	// Daemons, Slots and Connections replace those of the size likewise.
+	Daemons     int `json:"daemons,omitempty"`
+	Slots       int `json:"slots,omitempty"`
+	Connections int `json:"connections,omitempty"`
 	// Limits replace the ranks' targets.
 	Limits  Limits   `json:"limits,omitzero"`
 	Streams []Stream `json:"streams"`
 	Faults  []Fault  `json:"faults,omitempty"`
-	// Tunings change the daemons' decisions for a measured comparison.
-	Preempt bool `json:"preempt,omitempty"`
+	// Keep leaves running browse reads alone, for comparison.
+	Keep bool `json:"keep,omitempty"`
+	// Decisions logs each routing and placement decision.
+	Decisions bool `json:"decisions,omitempty"`
 }
 
 // Limits are targets of ranks; 0 keeps the default.
@@ -210,5 +216,14 @@
 	if x.Ship > 0 {
 		size.Ship = x.Ship
 	}
+	if x.Daemons > 0 {
+		size.Daemons = x.Daemons
+	}
+	if x.Slots > 0 {
+		size.Slots = x.Slots
+	}
+	if x.Connections > 0 {
+		size.Connections = x.Connections
+	}
 	return size
 }
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -10,9 +10,13 @@
 var policies = map[string]func(*decider.Settings){
 	"": func(*decider.Settings) {},
 	// fifo serves all work in the order of its arrival.
-	"fifo": eachDatabase(func(d *dispatcher.Settings, _ int) { d.Fifo = true }),
+	"fifo": eachDatabase(func(d *dispatcher.Settings, _ int) {
+		d.Preempt = false
+		d.Fifo = true
+	}),
 	// strict serves a rank only when no higher one waits.
 	"strict": eachDatabase(func(d *dispatcher.Settings, _ int) {
+		d.Preempt = false
 		for rank := range d.Classes {
 			d.Classes[rank].Share = 0
 		}
@@ -23,6 +27,7 @@
 	"static": func(s *decider.Settings) {
 		s.Static = true
 		eachDatabase(func(d *dispatcher.Settings, daemons int) {
+			d.Preempt = false
 			for i := range d.Servers {
 				d.Servers[i].Slots = max(1, d.Servers[i].Slots/daemons)
 				d.Servers[i].Connections = max(1, d.Servers[i].Connections/daemons)
--- a/loader/run.go
+++ b/loader/run.go
@@ -60,13 +60,14 @@
 	}
 	policy := policies[r.experiment.Policy]
 	r.emulation, err = emulator.New(ctx, r.experiment.size(), emulator.Options{
-		Network: network,
-		Log:     log,
-		Lists:   lists,
+		Network:   network,
+		Log:       log,
+		Decisions: r.experiment.Decisions,
+		Lists:     lists,
 		Tune: func(s *decider.Settings) {
 			policy(s)
 			for name, d := range s.Databases {
-				d.Preempt = r.experiment.Preempt
+				d.Preempt = d.Preempt && !r.experiment.Keep
 				r.experiment.Limits.apply(&d.Classes)
 				s.Databases[name] = d
 			}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -13,9 +13,6 @@
 type Conn uint64
 
 const (
-	// warmMinimum is how many idle connections are kept while the server is in
-	// use.
-	warmMinimum = 2
 	// idleLimit is how long a connection beyond the warm ones stays idle.
 	idleLimit timekeeper.Millis = 30_000
 	// backOff is the pause after the server refused or failed a connection.
@@ -36,6 +33,7 @@
 type Pool struct {
 	next    func() Conn
 	limit   int
+	warm    int
 	share   int
 	idle    []idle
 	busy    map[Conn]bool
@@ -43,10 +41,10 @@
 	pause   timekeeper.Millis
 }
 
-// New returns an empty pool. The server takes limit connections in all; next
-// numbers new connections.
-func New(limit int, next func() Conn) *Pool {
-	return &Pool{next: next, limit: limit, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}}
+// New returns an empty pool. The server takes limit connections in all; warm idle
+// ones are kept ahead of need; next numbers new connections.
+func New(limit, warm int, next func() Conn) *Pool {
+	return &Pool{next: next, limit: limit, warm: warm, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}}
 }
 
 // SetShare sets how many connections this daemon may have; it is kept between 1
@@ -144,7 +142,7 @@
 	if now < p.pause {
 		return nil, closed
 	}
-	wanted := max(demand, warmMinimum) - len(p.idle) - len(p.opening)
+	wanted := max(demand, p.warm) - len(p.idle) - len(p.opening)
 	for range min(wanted, p.share-p.Size()) {
 		conn := p.next()
 		p.opening[conn] = true
@@ -159,7 +157,7 @@
 	for len(p.idle) > 0 {
 		oldest := p.idle[0]
 		over := p.Size() > p.share
-		stale := len(p.idle) > warmMinimum && now-oldest.since > idleLimit
+		stale := len(p.idle) > p.warm && now-oldest.since > idleLimit
 		if !over && !stale {
 			break
 		}
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		last := pooler.Conn(0)
 		const limit = 16
-		pool := pooler.New(limit, func() pooler.Conn { last++; return last })
+		pool := pooler.New(limit, 2, func() pooler.Conn { last++; return last })
 		share := limit
 		now := timekeeper.Millis(0)
 		var opening, busy []pooler.Conn
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -237,6 +237,7 @@
 	out.CatchUp = s.Times.Catchup
 	out.Silence = s.Times.Silence
 	out.Keep = s.Times.Ledger
+	out.Preempt = s.Preempt
 	if d.Acknowledge == configurer.AcknowledgePrimary {
 		out.Need = 1
 	}
