End watches of the stand-in in time; metrics of waits; TLS and relayer tests

Cause: an experiment hung at its end for 7 minutes. The goroutine dump shows a watch of the backend server stand-in waiting for good. Ruled out: the daemons, which had all stopped. Change: the deadline is taken before the timer starts; the timer could fire first, find its waiter's deadline ahead, and never fire again. Queue wait, acknowledgement wait and time without a primary are metrics. Conclusion: the fault was the stand-in's alone; daemons treat a watch that stays unanswered as missed.

--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -60,6 +60,8 @@
 	failures []string
 	log      func(string, ...any)
 	started  int
+	// own are the statements that daemons sent for themselves.
+	own []string
 	// need is how many servers must hold a commit; 0 stands for a majority.
 	need int
 }
@@ -621,6 +623,7 @@
 func (s *server) run(c *conn, e dispatcher.Exec) dispatcher.Answer {
 	var b batch
 	if e.SQL != "" {
+		s.world.own = append(s.world.own, e.SQL)
 		return dispatcher.Answer{Reply: dispatcher.ReplyDone, Status: "I", Code: "42P01"}
 	}
 	if err := json.Unmarshal(e.Payload, &b); err != nil {
--- a/decider/home.go
+++ b/decider/home.go
@@ -31,6 +31,10 @@
 	since      timekeeper.Millis
 	used       timekeeper.Millis
 	trim       timekeeper.Millis
+	// seen is when the home last looked, and vacant how long its database has
+	// been without a primary in all.
+	seen   timekeeper.Millis
+	vacant timekeeper.Millis
 }
 
 func newHome(now timekeeper.Millis, database string, n *Node) *home {
@@ -76,6 +80,10 @@
 }
 
 func (h *home) tick(now timekeeper.Millis, n *Node) {
+	if h.mine && h.seen > 0 && !h.dispatcher.HasPrimary(now) {
+		h.vacant += now - h.seen
+	}
+	h.seen = now
 	n.serverCommands(now, h, h.dispatcher.Tick(now))
 	if h.mine && now >= h.trim {
 		h.trim = now + trimInterval
--- a/decider/node.go
+++ b/decider/node.go
@@ -106,6 +106,16 @@
 	return len(n.pending)
 }
 
+// Vacant returns how long the databases kept here have been without a primary, in
+// all.
+func (n *Node) Vacant() timekeeper.Millis {
+	total := timekeeper.Millis(0)
+	for _, h := range n.homes {
+		total += h.vacant
+	}
+	return total
+}
+
 // Tick does what is due by now. Drivers call it every 10 to 50 ms.
 func (n *Node) Tick(now timekeeper.Millis) []Command {
 	for _, send := range n.hosts.Tick(now) {
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -389,3 +389,18 @@
 	}
 	t.Error("no acknowledged write was lost although the majority is switched off")
 }
+
+// TestLedgerIsTrimmed checks that the home, and no other daemon, deletes old
+// request keys.
+func TestLedgerIsTrimmed(t *testing.T) {
+	w := newWorld(1, 0, func(string, ...any) {})
+	w.run(25_000)
+	if len(w.own) != 2 {
+		t.Fatalf("statements in 25 s: got %v, want two", w.own)
+	}
+	for _, sql := range w.own {
+		if !strings.HasPrefix(sql, "DELETE FROM heatherhall_ledger WHERE made < '") {
+			t.Errorf("got %s", sql)
+		}
+	}
+}
--- a/dispatcher/answer.go
+++ b/dispatcher/answer.go
@@ -73,6 +73,7 @@
 		Server:   j.server.Name,
 		Replica:  j.server != d.primary,
 		Repeat:   a.Repeat,
+		Waited:   j.sent - j.arrived,
 	}
 	switch {
 	case a.Reused:
@@ -117,6 +118,7 @@
 // committed withholds the outcome of a commit until a majority holds it.
 func (d *Dispatcher) committed(now timekeeper.Millis, j *job, outcome Outcome) {
 	j.phase = phaseAcknowledging
+	j.committed = now
 	j.outcome = outcome
 	j.until = now + d.settings.Ack
 	if outcome.Position.IsZero() {
@@ -157,7 +159,7 @@
 }
 
 // acknowledge ends work whose commit a majority holds.
-func (d *Dispatcher) acknowledge(_ timekeeper.Millis, commit acknowledger.Commit) {
+func (d *Dispatcher) acknowledge(now timekeeper.Millis, commit acknowledger.Commit) {
 	j := d.jobs[commit.ID]
 	if j == nil {
 		return
@@ -168,6 +170,7 @@
 	// The position handed out is one of the term in which a majority holds the
 	// commit, so that a later reader can tell it from a lost one.
 	j.outcome.Position = commit.At
+	j.outcome.Acknowledged = now - j.committed
 	d.finish(j, j.outcome)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -187,6 +187,7 @@
 		Rank:     j.work.Rank,
 		Lane:     lane,
 		Cost:     d.costs[j.work.Rank],
+		Arrived:  j.arrived,
 		Deadline: d.deadline(now, j),
 		Limit:    j.work.Limit,
 	}
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -34,15 +34,17 @@
 	arrived timekeeper.Millis
 	expires timekeeper.Millis
 	// floor is the work's floor, raised by its barrier or age.
-	floor    sequencer.Position
-	barrier  uint64
-	until    timekeeper.Millis
-	conn     pooler.Conn
-	server   *server
-	sent     timekeeper.Millis
-	inspect  timekeeper.Millis
-	idle     int
-	attempts int
+	floor   sequencer.Position
+	barrier uint64
+	until   timekeeper.Millis
+	conn    pooler.Conn
+	server  *server
+	sent    timekeeper.Millis
+	// committed is when the primary answered the commit.
+	committed timekeeper.Millis
+	inspect   timekeeper.Millis
+	idle      int
+	attempts  int
 	// doubtful says that an earlier attempt may have run.
 	doubtful bool
 	// preempted says that the statement was cancelled for more urgent work.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -64,6 +64,11 @@
 	return slices.Sorted(maps.Keys(d.owner))
 }
 
+// HasPrimary reports whether there is a primary that answers.
+func (d *Dispatcher) HasPrimary(now timekeeper.Millis) bool {
+	return d.hasPrimary(now)
+}
+
 // Primary returns the name of the primary, or an empty one.
 func (d *Dispatcher) Primary() string {
 	if d.primary == nil {
--- a/dispatcher/work.go
+++ b/dispatcher/work.go
@@ -126,6 +126,10 @@
 	Server  string `json:"server,omitempty"`
 	Replica bool   `json:"replica,omitempty"`
 	Repeat  bool   `json:"repeat,omitempty"`
+	// Waited is the time from the work's arrival at the home to its start, and
+	// Acknowledged the time from its commit to its acknowledgement.
+	Waited       timekeeper.Millis `json:"waited,omitempty"`
+	Acknowledged timekeeper.Millis `json:"acknowledged,omitempty"`
 }
 
 // Open reports whether a transaction is open after the outcome.
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -92,6 +92,8 @@
 	Decisions bool
 	// Lists are the operators' lists to begin with.
 	Lists planner.File
+	// TLS names the certificate for callers' connections, if any.
+	TLS *configurer.TLS
 	// Tune changes the daemons' decisions, for baselines.
 	Tune runner.Tune
 }
@@ -244,6 +246,7 @@
 	}
 	s := configurer.Default()
 	s.Log.Decisions = e.options.Decisions
+	s.TLS = e.options.TLS
 	s.Platform = e.Platform.Address()
 	s.Secret.File = secret
 	s.Tokens = []configurer.TokenKey{{Name: "first", Secret: configurer.Secret{File: secret}}}
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -26,13 +26,13 @@
 	goleak.VerifyTestMain(m)
 }
 
-func start(t *testing.T, network int) *emulator.Emulation {
+func start(t testing.TB, network int, change ...func(*emulator.Options)) *emulator.Emulation {
 	t.Helper()
 	verifier, err := planner.NewVerifier("coop", password, "salt")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, err := emulator.New(context.Background(), emulator.Coop(), emulator.Options{
+	options := emulator.Options{
 		Network: network,
 		Log:     io.Discard,
 		Lists: planner.File{
@@ -45,7 +45,11 @@
 				{Name: "visitor", Plan: "visit", Verifier: verifier.String()},
 			},
 		},
-	})
+	}
+	for _, c := range change {
+		c(&options)
+	}
+	e, err := emulator.New(context.Background(), emulator.Coop(), options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -46,9 +46,8 @@
 // Watch waits until the report differs from the given positions or promise, or
 // until the time is up, and returns it.
 func (e *Engine) Watch(held, applied sequencer.Position, promised int64, wait time.Duration) sequencer.Report {
-	expired := e.wakeAfter(wait)
+	deadline, expired := e.wakeAfter(wait)
 	defer expired.Stop()
-	deadline := time.Now().Add(wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for e.log.Held() == held && e.log.Applied() == applied && e.log.promised == promised && time.Now().Before(deadline) {
@@ -57,8 +56,11 @@
 	return e.report()
 }
 
-func (e *Engine) wakeAfter(wait time.Duration) *time.Timer {
-	return time.AfterFunc(wait, func() {
+// wakeAfter wakes all waiters once the time is up. The deadline it returns is
+// past when it does: a waiter that found it still ahead would wait for good.
+func (e *Engine) wakeAfter(wait time.Duration) (time.Time, *time.Timer) {
+	deadline := time.Now().Add(wait)
+	return deadline, time.AfterFunc(wait, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.changed.Broadcast()
@@ -139,9 +141,8 @@
 // after returns the entries after offset, waiting up to wait for the first one.
 // It fails when the server is no longer the primary of term.
 func (e *Engine) after(term, offset int64, wait time.Duration) ([]Entry, error) {
-	expired := e.wakeAfter(wait)
+	deadline, expired := e.wakeAfter(wait)
 	defer expired.Stop()
-	deadline := time.Now().Add(wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for {
--- a/faker/transaction.go
+++ b/faker/transaction.go
@@ -25,8 +25,7 @@
 	if e.locks[name] == t {
 		return nil
 	}
-	deadline := time.Now().Add(lockWait)
-	expired := e.wakeAfter(lockWait)
+	deadline, expired := e.wakeAfter(lockWait)
 	defer expired.Stop()
 	for e.locks[name] != nil {
 		if !time.Now().Before(deadline) {
--- a/observer/metrics.go
+++ b/observer/metrics.go
@@ -13,6 +13,12 @@
 	Reads *prometheus.CounterVec
 	// Wait observes the time from request to outcome in seconds, by rank.
 	Wait *prometheus.HistogramVec
+	// Queue observes the time from the arrival of work at its home to its start
+	// in seconds, by rank.
+	Queue *prometheus.HistogramVec
+	// Acknowledge observes the time from a commit on the primary to its
+	// acknowledgement in seconds.
+	Acknowledge prometheus.Histogram
 	// Invariants counts checks that failed. It must stay 0.
 	Invariants prometheus.Counter
 	// Promotions counts changes of primary led by this daemon.
@@ -36,6 +42,16 @@
 			Help:    "Time from request to outcome by rank.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
 		}, []string{"rank"}),
+		Queue: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "heatherhall_queue_seconds",
+			Help:    "Time from the arrival of work at its home to its start by rank.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"rank"}),
+		Acknowledge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "heatherhall_acknowledge_seconds",
+			Help:    "Time from a commit on the primary to its acknowledgement.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
 		Invariants: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherhall_invariant_failures_total",
 			Help: "Checks inside the program that failed; must stay 0.",
@@ -45,7 +61,7 @@
 			Help: "Changes of primary that this daemon led.",
 		}),
 	}
-	m.registry.MustRegister(m.Outcomes, m.Reads, m.Wait, m.Invariants, m.Promotions)
+	m.registry.MustRegister(m.Outcomes, m.Reads, m.Wait, m.Queue, m.Acknowledge, m.Invariants, m.Promotions)
 	return m
 }
 
--- a/relayer/peer.go
+++ b/relayer/peer.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, nil, &Error{Op: "dial", Kind: KindDial, Err: err}
 	}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), refuseCalls{})
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{sent: &p.relayer.sent}), refuseCalls{})
 	if err := p.greet(ctx, rpc); err != nil {
 		_ = rpc.Close()
 		return nil, nil, err
--- a/relayer/probe.go
+++ b/relayer/probe.go
@@ -22,7 +22,9 @@
 	if err != nil {
 		return
 	}
-	_, _ = r.packets.WriteTo(append(r.sum(data), data...), address)
+	datagram := append(r.sum(data), data...)
+	r.sent.Add(int64(len(datagram)))
+	_, _ = r.packets.WriteTo(datagram, address)
 }
 
 // receive takes datagrams until the socket is closed. Those that are not signed
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -72,11 +73,19 @@
 	packets  net.PacketConn
 	local    net.IP
 
+	// sent counts the bytes sent to peers.
+	sent atomic.Int64
+
 	mu    sync.Mutex
 	peers map[string]*peer
 	wait  sync.WaitGroup
 }
 
+// Sent returns how many bytes went to peers so far.
+func (r *Relayer) Sent() int64 {
+	return r.sent.Load()
+}
+
 // New listens on an address over TCP and UDP.
 func New(self, address string, secret []byte, handlers Handlers) (*Relayer, error) {
 	listener, err := net.Listen("tcp", address)
@@ -145,7 +154,7 @@
 // serve takes a peer's calls until its connection ends.
 func (r *Relayer) serve(ctx context.Context, conn net.Conn) {
 	in := &incoming{relayer: r, nonce: newNonce()}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), in)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{sent: &r.sent}), in)
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
--- a/relayer/secret.go
+++ b/relayer/secret.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -54,10 +55,13 @@
 const frameLimit = 32 << 20
 
 // codec frames messages by their length in four bytes, most significant first.
-type codec struct{}
+type codec struct {
+	// sent counts the bytes written.
+	sent *atomic.Int64
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (codec) WriteObject(stream io.Writer, object any) error {
+func (c codec) WriteObject(stream io.Writer, object any) error {
 	data, err := json.Marshal(object)
 	if err != nil {
 		return err
@@ -66,6 +70,7 @@
 		return &Error{Op: "write", Kind: KindProtocol, Err: errors.Errorf("a message of %d bytes is too large", len(data))}
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
+	c.sent.Add(int64(len(data) + len(frame)))
 	_, err = stream.Write(append(frame, data...))
 	return err
 }
--- a/runner/command.go
+++ b/runner/command.go
@@ -51,20 +51,32 @@
 }
 
 func (r *Runner) reply(c decider.Reply) {
-	s, found := r.requests[c.Caller]
-	if found {
-		r.metrics.Wait.WithLabelValues(s.rank).Observe(time.Since(s.at).Seconds())
-		delete(r.requests, c.Caller)
+	s := r.requests[c.Caller]
+	delete(r.requests, c.Caller)
+	r.observe(s, c.Outcome)
+	r.listener.Reply(c.Caller, c.Outcome)
+}
+
+// observe counts an outcome in the metrics.
+func (r *Runner) observe(s started, o dispatcher.Outcome) {
+	r.metrics.Outcomes.WithLabelValues(string(o.Class), o.Code).Inc()
+	if s.at.IsZero() {
+		return
 	}
-	r.metrics.Outcomes.WithLabelValues(string(c.Outcome.Class), c.Outcome.Code).Inc()
-	if s.read && c.Outcome.Class == dispatcher.ClassDone {
-		role := "primary"
-		if c.Outcome.Replica {
-			role = "replica"
-		}
-		r.metrics.Reads.WithLabelValues(role).Inc()
+	r.metrics.Wait.WithLabelValues(s.rank).Observe(time.Since(s.at).Seconds())
+	if o.Class != dispatcher.ClassDone {
+		return
 	}
-	r.listener.Reply(c.Caller, c.Outcome)
+	r.metrics.Queue.WithLabelValues(s.rank).Observe(o.Waited.Duration().Seconds())
+	if !s.read {
+		r.metrics.Acknowledge.Observe(o.Acknowledged.Duration().Seconds())
+		return
+	}
+	role := "primary"
+	if o.Replica {
+		role = "replica"
+	}
+	r.metrics.Reads.WithLabelValues(role).Inc()
 }
 
 func (r *Runner) toServer(database string, c any) {
--- a/runner/status.go
+++ b/runner/status.go
@@ -26,6 +26,14 @@
 	r.metrics.Gauge("heatherhall_lists_version", "Version of the operators' lists in force.", func() float64 {
 		return float64(r.currentLists().Version())
 	})
+	r.metrics.Gauge("heatherhall_vacant_seconds", "Time that databases kept here were without a primary.", func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.node.Vacant().Duration().Seconds()
+	})
+	r.metrics.Gauge("heatherhall_peer_sent_bytes", "Bytes sent to other daemons so far.", func() float64 {
+		return float64(r.relayer.Sent())
+	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(r.metrics.Registry(), promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -24,6 +24,9 @@
 	Lane     Lane
 	// Cost is the expected service time in milliseconds.
 	Cost float64
+	// Arrived is when the work arrived. A customer's work of one rank goes in
+	// this order where it waits in both lanes.
+	Arrived timekeeper.Millis
 	// Deadline is the time by which the work must have started.
 	Deadline timekeeper.Millis
 	// Limit is how many statements the customer may have running; 0 is any
@@ -219,20 +222,31 @@
 	return Item{}, false
 }
 
-// first returns the flow with the lowest tag in the open lanes.
+// first returns the flow with the lowest tag in the open lanes. Where one flow
+// is first in both, its earlier item goes.
 func (l *level) first(open [2]bool) (*flow, Lane) {
-	var best *flow
-	lane := LanePrimary
-	for i := range l.lanes {
-		if !open[i] || l.lanes[i].heap.Len() == 0 {
-			continue
-		}
-		if f := l.lanes[i].heap.flows[0]; best == nil || f.tag < best.tag {
-			best = f
-			lane = Lane(i)
-		}
+	primary, other := l.lanes[LanePrimary].first(open[LanePrimary]), l.lanes[LaneAny].first(open[LaneAny])
+	switch {
+	case other == nil:
+		return primary, LanePrimary
+	case primary == nil:
+		return other, LaneAny
+	case primary != other && primary.tag <= other.tag:
+		return primary, LanePrimary
+	case primary != other:
+		return other, LaneAny
+	case primary.waiting[LaneAny].peek().Arrived < primary.waiting[LanePrimary].peek().Arrived:
+		return primary, LaneAny
 	}
-	return best, lane
+	return primary, LanePrimary
+}
+
+// first returns the lane's flow with the lowest tag, or nil.
+func (s *laneState) first(open bool) *flow {
+	if !open || s.heap.Len() == 0 {
+		return nil
+	}
+	return s.heap.flows[0]
 }
 
 // restore puts the flows that were passed over back.
