--- /dev/null
+++ b/connector/keyed.go
@@ -0,0 +1,150 @@
+package connector
+
+import (
+	"encoding/base64"
+
+	"github.com/heatherhall/heatherhall/deduplicator"
+	"github.com/heatherhall/heatherhall/dispatcher"
+)
+
+func keyOf(e dispatcher.Exec) deduplicator.Key {
+	return deduplicator.Key{Customer: e.Customer, Request: e.Key, Digest: e.Digest, Made: e.Made}
+}
+
+// runKeyed runs a batch with a request key at most once.
+func (c *Conn) runKeyed(e dispatcher.Exec) dispatcher.Answer {
+	run := deduplicator.New(keyOf(e))
+	step := run.Start()
+	var work, last collected
+	for {
+		batch := e.Payload
+		if step.Action == deduplicator.ActionQuery {
+			batch = encodeQuery(step.SQL)
+		}
+		got, sent := c.send(batch, step.Action == deduplicator.ActionQuery)
+		if got.lost {
+			return toAnswer(got, sent || step.Action != deduplicator.ActionQuery)
+		}
+		if step.Action == deduplicator.ActionWork {
+			work = got
+		}
+		if got.code != "" {
+			last = got
+		}
+		step = run.Next(deduplicator.Result{Code: got.code, Rows: got.rows, Outcome: encodeOutcome(got)})
+		if step.Action != deduplicator.ActionQuery && step.Action != deduplicator.ActionWork {
+			return finishKeyed(step, work, last, got)
+		}
+	}
+}
+
+// finishKeyed turns the last step of a keyed run into an answer.
+func finishKeyed(step deduplicator.Step, work, failed, got collected) dispatcher.Answer {
+	answer := dispatcher.Answer{Reply: dispatcher.ReplyDone, Status: string(got.status), Seen: got.seen, Final: got.final}
+	switch step.Action {
+	case deduplicator.ActionFinish:
+		answer.Payload = work.payload
+		answer.Code = work.code
+	case deduplicator.ActionRepeat:
+		answer.Payload = decodeOutcome(step.Outcome)
+		answer.Repeat = true
+	case deduplicator.ActionReused:
+		answer.Reused = true
+	default:
+		answer.Payload = failed.payload
+		answer.Code = failed.code
+	}
+	return answer
+}
+
+// encodeOutcome encodes an answer for the ledger.
+func encodeOutcome(got collected) string {
+	data := got.payload
+	if len(data) > outcomeLimit {
+		data = got.tags
+	}
+	return base64.StdEncoding.EncodeToString(data)
+}
+
+func decodeOutcome(outcome string) []byte {
+	data, err := base64.StdEncoding.DecodeString(outcome)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// runBegin begins a transaction and claims its key in it. Where the key was
+// used before, the transaction is rolled back and the caller told so.
+func (c *Conn) runBegin(e dispatcher.Exec) dispatcher.Answer {
+	begin, sent := c.send(e.Payload, false)
+	if begin.lost || begin.code != "" || begin.status != 'T' {
+		return toAnswer(begin, sent)
+	}
+	key := keyOf(e)
+	claim, _ := c.send(encodeQuery(deduplicator.Claim(key)), false)
+	if claim.code == "42P01" {
+		claim = c.createAndClaim(e, key)
+	}
+	switch {
+	case claim.lost:
+		return dispatcher.Answer{Reply: dispatcher.ReplyLost}
+	case claim.code == "":
+		c.key = key
+		c.claimed = true
+		return toAnswer(begin, true)
+	case claim.code == "23505":
+		return c.repeatedBegin(key)
+	}
+	ended, _ := c.send(encodeQuery("ROLLBACK"), false)
+	if ended.lost {
+		return toAnswer(ended, true)
+	}
+	claim.status = ended.status
+	return toAnswer(claim, true)
+}
+
+// createAndClaim makes the ledger table and begins again.
+func (c *Conn) createAndClaim(e dispatcher.Exec, key deduplicator.Key) collected {
+	made, _ := c.send(encodeQuery("ROLLBACK; "+deduplicator.Create()), false)
+	if made.lost || made.code != "" {
+		return made
+	}
+	if begin, _ := c.send(e.Payload, false); begin.lost || begin.code != "" {
+		return begin
+	}
+	claim, _ := c.send(encodeQuery(deduplicator.Claim(key)), false)
+	return claim
+}
+
+// repeatedBegin answers the beginning of a transaction whose key was used.
+func (c *Conn) repeatedBegin(key deduplicator.Key) dispatcher.Answer {
+	got, _ := c.send(encodeQuery("ROLLBACK"), false)
+	if !got.lost {
+		got, _ = c.send(encodeQuery(deduplicator.Lookup(key)), true)
+	}
+	if got.lost {
+		return toAnswer(got, true)
+	}
+	answer := toAnswer(got, true)
+	if len(got.rows) == 1 && deduplicator.Compare(key, got.rows[0]).Action == deduplicator.ActionReused {
+		answer.Reused = true
+		return answer
+	}
+	answer.Repeat = true
+	answer.Code = codeRepeated
+	answer.Payload = encodeError(codeRepeated, "a transaction with this request key has committed before")
+	return answer
+}
+
+// runCommit records the outcome of a keyed transaction and commits it.
+func (c *Conn) runCommit(e dispatcher.Exec) dispatcher.Answer {
+	c.claimed = false
+	recorded, sent := c.send(encodeQuery(deduplicator.Record(c.key, "committed")), false)
+	if recorded.lost {
+		// The commit was not sent.
+		return toAnswer(recorded, sent)
+	}
+	got, _ := c.send(e.Payload, false)
+	return toAnswer(got, true)
+}
--- a/decider/entry.go
+++ b/decider/entry.go
@@ -2,14 +2,9 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherhall/heatherhall/dispatcher"
 	"github.com/heatherhall/heatherhall/planner"
-	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -164,61 +159,6 @@
 	return n.take()
 }
 
-// Hangup tells that a caller has gone. Its queued work is dropped and its open
-// transaction rolled back.
-func (n *Node) Hangup(now timekeeper.Millis, caller uint64) []Command {
-	p := n.pending[n.callers[caller]]
-	if p == nil {
-		return nil
-	}
-	n.drop(p)
-	if p.home == n.settings.Self.Name {
-		return n.withHome(now, p.work.Database, func(h *home) []dispatcher.Command {
-			return h.dispatcher.Cancel(now, p.work.ID)
-		})
-	}
-	n.mail(now, p.home, Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID}})
-	return n.take()
-}
-
-// Cancel cancels what a caller waits for.
-func (n *Node) Cancel(now timekeeper.Millis, caller uint64) []Command {
-	p := n.pending[n.callers[caller]]
-	if p == nil || !p.waits {
-		return nil
-	}
-	if p.home == n.settings.Self.Name {
-		return n.withHome(now, p.work.Database, func(h *home) []dispatcher.Command {
-			return h.dispatcher.CancelStatement(now, p.work.ID)
-		})
-	}
-	n.mail(now, p.home, Mail{Cancel: &CancelMail{Database: p.work.Database, ID: p.work.ID, Statement: true}})
-	return n.take()
-}
-
-// HostNumber returns the number of a host in cancel keys. Two hosts may share a
-// number; a key then reaches both, and its secret tells whose it is.
-func HostNumber(name string) uint16 {
-	return uint16(xxhash.Sum64String(name) & hostNumberMask)
-}
-
-const hostNumberMask = 1<<12 - 1
-
-// CancelKey takes a cancel request, which callers may send to any daemon, and
-// passes it on to the daemon whose caller it names.
-func (n *Node) CancelKey(key KeyMail) []Command {
-	for _, m := range n.hosts.Members() {
-		switch {
-		case HostNumber(m.Name) != key.Host:
-		case m.Name == n.settings.Self.Name:
-			n.emit(CancelCaller(key))
-		default:
-			n.emit(ToPeer{To: m, Mail: Mail{Key: &key}})
-		}
-	}
-	return n.take()
-}
-
 func (n *Node) drop(p *pending) {
 	delete(n.pending, p.work.ID)
 	if n.callers[p.caller] == p.work.ID {
@@ -259,111 +199,3 @@
 	}
 	n.drop(p)
 }
-
-// PeerLost tells that another daemon can't be reached. What was given to it is
-// given to another home, if it may run again; mail to it takes a detour for a
-// time.
-func (n *Node) PeerLost(now timekeeper.Millis, name string) []Command {
-	n.unreachable[name] = now + detour
-	for _, p := range n.sortedPending() {
-		if p.home == name && (p.waits || p.open) {
-			n.lose(now, p)
-		}
-	}
-	return n.take()
-}
-
-func (n *Node) sortedPending() []*pending {
-	out := make([]*pending, 0, len(n.pending))
-	for _, p := range n.pending {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *pending) int { return strings.Compare(a.work.ID, b.work.ID) })
-	return out
-}
-
-// lose decides on a request whose home went away.
-func (n *Node) lose(now timekeeper.Millis, p *pending) {
-	repeatable := !p.work.Write || p.work.Begin || p.work.Key != ""
-	switch {
-	case p.open && p.commit:
-		n.reply(p, unknown("the daemon that ran the transaction was lost while it committed"))
-	case p.open && p.waits:
-		n.reply(p, *refusal(dispatcher.CodeRolledBack, "the daemon that ran the transaction was lost and it was rolled back", 0))
-	case p.open:
-		// The caller learns it with its next statement.
-		p.open = false
-	case !repeatable:
-		n.reply(p, unknown("the daemon that ran the work was lost before its answer came"))
-	case p.resends >= resendLimit || now >= p.due:
-		n.giveUp(p)
-	default:
-		n.resend(now, p)
-	}
-}
-
-// resend gives work to the present home under a new id: the old one may still
-// run it, so only work that may run twice, or that has a key, comes here.
-func (n *Node) resend(now timekeeper.Millis, p *pending) {
-	n.drop(p)
-	p.resends++
-	p.work.Doubtful = p.work.Write
-	p.work.ID = n.nextID()
-	p.work.Within = max(1, p.due-grace-now)
-	n.pending[p.work.ID] = p
-	n.callers[p.caller] = p.work.ID
-	n.send(now, p)
-}
-
-func (n *Node) giveUp(p *pending) {
-	if p.work.Write && !p.work.Begin {
-		n.reply(p, unknown("no home of the database answered"))
-		return
-	}
-	n.reply(p, *refusal(dispatcher.CodeNoPrimary, "no home of the database answered", 0))
-}
-
-func unknown(text string) dispatcher.Outcome {
-	return dispatcher.Outcome{Class: dispatcher.ClassUnknown, Code: dispatcher.CodeUnknown, Text: text, Status: "I"}
-}
-
-// tickPending ends requests whose home is silent, and moves those whose home is
-// not live any more.
-func (n *Node) tickPending(now timekeeper.Millis) {
-	var due []*pending
-	for _, p := range n.pending {
-		if p.waits && (now >= p.due || n.deadHome(p)) {
-			due = append(due, p)
-		}
-	}
-	slices.SortFunc(due, func(a, b *pending) int { return strings.Compare(a.work.ID, b.work.ID) })
-	for _, p := range due {
-		n.lose(now, p)
-	}
-}
-
-// deadHome reports whether the host that was given the work counts as dead.
-func (n *Node) deadHome(p *pending) bool {
-	m, known := n.hosts.Member(p.home)
-	return p.home != n.settings.Self.Name && (!known || m.State == "dead")
-}
-
-// blockKey names a queue that has refused a customer's work.
-type blockKey struct {
-	database string
-	customer string
-	rank     scheduler.Rank
-}
-
-// blockLimit is the longest time for which the entry refuses work by itself
-// after a home refused the like.
-const blockLimit timekeeper.Millis = 100
-
-func (n *Node) block(now timekeeper.Millis, p *pending, retry timekeeper.Millis) {
-	key := blockKey{database: p.work.Database, customer: p.work.Customer, rank: p.work.Rank}
-	n.blocked[key] = now + min(retry, blockLimit)
-}
-
-func (n *Node) blockedUntil(r Request, plan planner.Plan) timekeeper.Millis {
-	return n.blocked[blockKey{database: r.Database, customer: r.Customer, rank: max(r.Rank, plan.Rank)}]
-}
--- a/decider/limit.go
+++ b/decider/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/heatherhall/heatherhall/planner"
+	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -53,3 +54,23 @@
 		}
 	}
 }
+
+// blockKey names a queue that has refused a customer's work.
+type blockKey struct {
+	database string
+	customer string
+	rank     scheduler.Rank
+}
+
+// blockLimit is the longest time for which the entry refuses work by itself
+// after a home refused the like.
+const blockLimit timekeeper.Millis = 100
+
+func (n *Node) block(now timekeeper.Millis, p *pending, retry timekeeper.Millis) {
+	key := blockKey{database: p.work.Database, customer: p.work.Customer, rank: p.work.Rank}
+	n.blocked[key] = now + min(retry, blockLimit)
+}
+
+func (n *Node) blockedUntil(r Request, plan planner.Plan) timekeeper.Millis {
+	return n.blocked[blockKey{database: r.Database, customer: r.Customer, rank: max(r.Rank, plan.Rank)}]
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -24,8 +24,12 @@
 	outcomes []dispatcher.Outcome
 	asks     []dispatcher.Ask
 	closed   []pooler.Conn
-	servers  map[pooler.Conn]string
-	number   uint64
+	// cancels are the connections on which a statement is to be cancelled, and
+	// total how many there were.
+	cancels []pooler.Conn
+	total   int
+	servers map[pooler.Conn]string
+	number  uint64
 }
 
 var (
@@ -75,6 +79,8 @@
 			b.execs = append(b.execs, command)
 		case dispatcher.Finish:
 			b.outcomes = append(b.outcomes, command.Outcome)
+		case dispatcher.CancelExec:
+			b.cancels = append(b.cancels, command.Conn)
 		case dispatcher.Ask:
 			b.asks = append(b.asks, command)
 		}
@@ -320,3 +326,33 @@
 		bench.answer(dispatcher.Answer{Seen: pos(1, 10), Took: 1})
 	}
 }
+
+// TestPreemption checks that urgent work which waits for the primary cancels a
+// browse read there, that the read runs again, and that one read is cancelled at
+// most twice.
+func TestPreemption(t *testing.T) {
+	b := newBench(t, func(s *dispatcher.Settings) { s.CatchUp = 0 })
+	// Only the primary covers the reads, so they take both of its slots.
+	b.report("p", sequencer.RolePrimary, pos(1, 12))
+	for _, id := range []string{"r1", "r2"} {
+		b.submit(dispatcher.Work{ID: id, Rank: scheduler.RankBrowse, Floor: pos(1, 12)})
+	}
+	for round := range 3 {
+		b.submit(dispatcher.Work{ID: fmt.Sprint("w", round), Rank: scheduler.RankUrgent, Write: true})
+	}
+	if len(b.cancels) != 1 {
+		t.Fatalf("cancelled: got %v, want one read at a time", b.cancels)
+	}
+	for len(b.cancels) > 0 {
+		conn := b.cancels[0]
+		b.cancels = b.cancels[1:]
+		b.total++
+		b.do(b.d.Answered(b.now, dispatcher.Answer{Conn: conn, Reply: dispatcher.ReplyDone, Status: "I", Code: "57014"}))
+	}
+	if len(b.outcomes) > 0 {
+		t.Errorf("a cancelled read was answered: %v", b.outcomes)
+	}
+	if b.total < 2 || b.total > 4 {
+		t.Errorf("%d cancellations of two reads, want 2 to 4", b.total)
+	}
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -8,94 +8,6 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// View is what the home knows of one backend server.
-type View struct {
-	Name    string
-	Report  sequencer.Report
-	Heard   timekeeper.Millis
-	Known   bool
-	Leaving bool
-	// Answering is false once several questions over new connections stayed
-	// unanswered.
-	Answering bool
-}
-
-// link returns how long the server has not heard from its primary, or -1 if it
-// follows none.
-func (v View) link(now timekeeper.Millis) timekeeper.Millis {
-	if v.Report.Upstream < 0 {
-		return -1
-	}
-	return timekeeper.Millis(v.Report.Upstream) + now - v.Heard
-}
-
-// Settings are the promoter's times.
-type Settings struct {
-	// Link is how long a replica's stream may be silent before the replica
-	// bears witness against its primary.
-	Link timekeeper.Millis
-	// Confirm is how long the evidence must last.
-	Confirm timekeeper.Millis
-	// Vacant is how long a database may be without a primary before a change
-	// that another daemon began counts as abandoned.
-	Vacant timekeeper.Millis
-	// Stuck is how long a server may be fenced beyond the present term before
-	// a new term takes it in again.
-	Stuck timekeeper.Millis
-	// Answer is how long the platform or a server may take for one step.
-	Answer timekeeper.Millis
-	// Pause is the time between two attempts.
-	Pause timekeeper.Millis
-	// Drain is how long a planned change waits for open transactions.
-	Drain timekeeper.Millis
-}
-
-// DefaultSettings returns the times that settings start from.
-func DefaultSettings() Settings {
-	return Settings{
-		Link:    500,
-		Confirm: 100,
-		Vacant:  800,
-		Stuck:   3000,
-		Answer:  400,
-		Pause:   400,
-		Drain:   2000,
-	}
-}
-
-// Commands of a promoter. Attempt numbers come back with the answers.
-type (
-	// Command is something the daemon is to do.
-	Command any
-	// Claim writes the row if the platform's row is of a lower term.
-	Claim struct {
-		Attempt int
-		Row     Row
-	}
-	// Fence asks a server to promise a term.
-	Fence struct {
-		Attempt int
-		Server  string
-		Term    int64
-	}
-	// Promote makes a fenced server the primary.
-	Promote struct {
-		Attempt int
-		Server  string
-		Term    int64
-	}
-	// Follow makes a server a replica of the primary.
-	Follow struct {
-		Server  string
-		Term    int64
-		Primary string
-	}
-	// Publish writes the row of a finished change.
-	Publish struct {
-		Row Row
-	}
-)
-
 type stage int
 
 const (
@@ -193,20 +105,6 @@
 	return p.take()
 }
 
-// primaryOf returns the index of the primary of the newest term, or -1.
-func primaryOf(views []View) int {
-	best := -1
-	for i, v := range views {
-		if !v.Known || v.Report.Role != sequencer.RolePrimary {
-			continue
-		}
-		if best < 0 || v.Report.History.Term() > views[best].Report.History.Term() {
-			best = i
-		}
-	}
-	return best
-}
-
 // consider starts a change of primary when the evidence asks for it.
 func (p *Promoter) consider(now timekeeper.Millis, views []View, writes int) {
 	primary := primaryOf(views)
@@ -230,53 +128,6 @@
 	}
 }
 
-// suspect returns why the primary should be replaced, and how long that must
-// last, or an empty text.
-func (p *Promoter) suspect(now timekeeper.Millis, views []View, primary int) (string, timekeeper.Millis) {
-	answering := 0
-	for _, v := range views {
-		if v.Known && v.Answering {
-			answering++
-		}
-	}
-	if answering < acknowledger.Majority(len(views)) {
-		return "", 0
-	}
-	if primary < 0 {
-		return "there is no primary", p.settings.Vacant
-	}
-	if !views[primary].Answering {
-		return p.witnesses(now, views, primary)
-	}
-	term := views[primary].Report.History.Term()
-	for _, v := range views {
-		if v.Answering && v.Report.Promised > term {
-			return v.Name + " is fenced beyond the present term", p.settings.Stuck
-		}
-	}
-	return "", 0
-}
-
-// witnesses counts the replicas that have lost their primary too. One that
-// still hears it proves that only this observer is cut off.
-func (p *Promoter) witnesses(now timekeeper.Millis, views []View, primary int) (string, timekeeper.Millis) {
-	lost := 0
-	for i, v := range views {
-		if i == primary || !v.Known || !v.Answering {
-			continue
-		}
-		link := v.link(now)
-		if link >= 0 && link <= p.settings.Link {
-			return "", 0
-		}
-		lost++
-	}
-	if lost < acknowledger.Majority(len(views)) {
-		return "", 0
-	}
-	return "the primary " + views[primary].Name + " answers neither this host nor its replicas", p.settings.Confirm
-}
-
 // begin claims the next term.
 func (p *Promoter) begin(now timekeeper.Millis, reason string) {
 	p.attempt++
@@ -419,69 +270,3 @@
 	p.next = now + p.settings.Pause*timekeeper.Millis(p.failures)
 	p.log("promoter: %s gives up term %d: %s", p.database, p.term, text)
 }
-
-// healInterval is the time between two requests to a server to follow.
-const healInterval timekeeper.Millis = 1000
-
-// linkBroken is how long a stream may be silent before its replica is told
-// again whom to follow.
-const linkBroken timekeeper.Millis = 1500
-
-// heal tells servers that do not follow the primary to do so.
-func (p *Promoter) heal(now timekeeper.Millis, views []View, primary int) {
-	head := views[primary]
-	term := head.Report.History.Term()
-	for i, v := range views {
-		if i == primary || !v.Known || !v.Answering || v.Report.Promised > term || now-p.healed[v.Name] < healInterval {
-			continue
-		}
-		link := v.link(now)
-		following := v.Report.Role == sequencer.RoleReplica && v.Report.Promised == term && link >= 0 && link < linkBroken
-		if following {
-			continue
-		}
-		p.healed[v.Name] = now
-		p.log("promoter: %s tells %s to follow %s in term %d", p.database, v.Name, head.Name, term)
-		p.emit(Follow{Server: v.Name, Term: term, Primary: head.Name})
-	}
-}
-
-// handOver replaces a primary that is leaving: new writes are held back until
-// the running ones are done and a replica has caught up.
-func (p *Promoter) handOver(now timekeeper.Millis, views []View, primary int, writes int) {
-	head := views[primary]
-	if !head.Leaving {
-		p.draining = 0
-		return
-	}
-	if now < p.next || !p.replaceable(views) {
-		return
-	}
-	if p.draining == 0 {
-		p.draining = now
-		p.log("promoter: %s holds writes back, its primary %s is leaving", p.database, head.Name)
-	}
-	if writes > 0 && now-p.draining < p.settings.Drain {
-		return
-	}
-	for i, v := range views {
-		if i != primary && v.Answering && !v.Leaving && v.Report.Held == head.Report.Held {
-			p.begin(now, "the primary "+head.Name+" is leaving")
-			return
-		}
-	}
-	if now-p.draining >= p.settings.Drain {
-		p.fail(now, "no replica has caught up with the leaving primary")
-	}
-}
-
-// replaceable reports whether the servers that stay are a majority.
-func (p *Promoter) replaceable(views []View) bool {
-	staying := 0
-	for _, v := range views {
-		if v.Known && v.Answering && !v.Leaving {
-			staying++
-		}
-	}
-	return staying >= acknowledger.Majority(len(views))
-}
--- a/runner/command.go
+++ b/runner/command.go
@@ -9,7 +9,6 @@
 	"github.com/heatherhall/heatherhall/dispatcher"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/promoter"
-	"github.com/heatherhall/heatherhall/storer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 	"github.com/heatherhall/heatherhall/watcher"
 )
@@ -102,34 +101,11 @@
 	case dispatcher.Inspect:
 		r.inspect(database, command)
 	case promoter.Fence:
-		r.control(database, command.Server, func(ctx context.Context, c *connector.Control) {
-			report, promised, err := c.Fence(ctx, command.Term)
-			if err == nil {
-				r.do(func(now timekeeper.Millis) []decider.Command {
-					return r.node.Fenced(now, database, command.Attempt, command.Server, promised, report)
-				})
-			}
-		})
+		r.fence(database, command)
 	case promoter.Promote:
-		r.control(database, command.Server, func(ctx context.Context, c *connector.Control) {
-			report, promoted, err := c.Promote(ctx, command.Term)
-			if err != nil {
-				return
-			}
-			if promoted {
-				r.metrics.Promotions.Inc()
-			}
-			r.do(func(now timekeeper.Millis) []decider.Command {
-				return r.node.Promoted(now, database, command.Attempt, promoted, report)
-			})
-		})
+		r.promote(database, command)
 	case promoter.Follow:
-		address := r.targets[database][command.Primary].Address
-		r.control(database, command.Server, func(ctx context.Context, c *connector.Control) {
-			if _, _, err := c.Follow(ctx, command.Term, address); err != nil {
-				r.log.Warnf("promoter: %s did not take its new primary: %v", command.Server, err)
-			}
-		})
+		r.follow(database, command)
 	}
 }
 
@@ -168,94 +144,3 @@
 	}
 	conn.Exec(e)
 }
-
-// control runs a command on a control connection of its own.
-func (r *Runner) control(database, server string, act func(context.Context, *connector.Control)) {
-	target := r.targets[database][server]
-	r.background(func(ctx context.Context) {
-		c := connector.NewControl(target)
-		defer c.Close()
-		act(ctx, c)
-	})
-}
-
-func (r *Runner) inspect(database string, c dispatcher.Inspect) {
-	conn := r.conns[c.Conn]
-	if conn == nil {
-		return
-	}
-	pid := conn.PID()
-	r.control(database, c.Server, func(ctx context.Context, control *connector.Control) {
-		running, err := control.Running(ctx, pid)
-		if err == nil {
-			r.do(func(now timekeeper.Millis) []decider.Command {
-				return r.node.Inspected(now, database, c.Conn, running)
-			})
-		}
-	})
-}
-
-// claimTimeout bounds the platform's answers to claims.
-const claimTimeout = 2 * time.Second
-
-func (r *Runner) toPlatform(database string, c any) {
-	r.background(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-		defer cancel()
-		switch command := c.(type) {
-		case promoter.Claim:
-			written, present, err := r.platform.Claim(ctx, database, command.Row)
-			if err != nil {
-				r.log.Warnf("storer: the claim of %s got no answer: %v", database, err)
-				return
-			}
-			r.do(func(now timekeeper.Millis) []decider.Command {
-				return r.node.Claimed(now, database, command.Attempt, written, present)
-			})
-		case promoter.Publish:
-			if err := r.platform.Publish(ctx, database, command.Row); err != nil {
-				r.log.Warnf("storer: the row of %s is not published: %v", database, err)
-			}
-		}
-	})
-}
-
-func (r *Runner) readTail(ctx context.Context, after int64) {
-	snapshot, edits, err := r.platform.Tail(ctx, after)
-	if err != nil {
-		r.log.Warnf("storer: the lists can't be read: %v", err)
-		return
-	}
-	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.TailRead(now, snapshot, edits) })
-}
-
-func (r *Runner) readHosts(ctx context.Context) {
-	hosts, err := r.platform.Hosts(ctx)
-	if err != nil {
-		r.log.Warnf("storer: the list of hosts can't be read: %v", err)
-		return
-	}
-	members, leaving, servers := sortHosts(hosts)
-	r.do(func(now timekeeper.Millis) []decider.Command { return r.node.HostsRead(now, members, leaving, servers) })
-}
-
-// sortHosts separates the platform's list into entry hosts, those of them that
-// leave, and the leaving backend servers by database.
-func sortHosts(hosts []storer.Host) ([]watcher.Member, map[string]bool, map[string]map[string]bool) {
-	var members []watcher.Member
-	leaving := map[string]bool{}
-	servers := map[string]map[string]bool{}
-	for _, h := range hosts {
-		gone := h.State == "leaving"
-		if h.Role != "backend" {
-			members = append(members, watcher.Member{Name: h.Name, Address: h.Address, Domain: h.Domain})
-			leaving[h.Name] = gone
-			continue
-		}
-		if servers[h.Database] == nil {
-			servers[h.Database] = map[string]bool{}
-		}
-		servers[h.Database][h.Name] = gone
-	}
-	return members, leaving, servers
-}
--- a/watcher/hosts.go
+++ b/watcher/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,23 +35,6 @@
 	relays = 2
 )
 
-// Send is a message to be sent to a host.
-type Send struct {
-	To      Member
-	Message Message
-}
-
-// probe is a ping whose answer is out.
-type probe struct {
-	target string
-	due    timekeeper.Millis
-	// relayed says that other hosts have been asked too.
-	relayed bool
-	// origin and number name the host that asked for the probe, if any.
-	origin string
-	number uint64
-}
-
 // Hosts is the list of hosts as one of them knows it. It is not safe for
 // concurrent use.
 type Hosts struct {
@@ -127,48 +109,6 @@
 	return out
 }
 
-// eligible reports whether a host may be a home.
-func (h *Hosts) eligible(m Member) bool {
-	return (m.State == StateLive || m.State == StateSuspect) && !h.leaving[m.Name]
-}
-
-// Home returns the host that is the home of a database: the first in the
-// rendezvous order among the hosts that are live.
-func (h *Hosts) Home(database string) string {
-	if home, found := h.homes[database]; found {
-		return home
-	}
-	home := ""
-	best := uint64(0)
-	for _, m := range h.members {
-		if !h.eligible(m) {
-			continue
-		}
-		weight := xxhash.Sum64String(m.Name + "/" + database)
-		if home == "" || weight > best || weight == best && m.Name < home {
-			home = m.Name
-			best = weight
-		}
-	}
-	if home == "" {
-		home = h.self.Name
-	}
-	h.homes[database] = home
-	return home
-}
-
-// Speaker returns the host of a domain that does for all of it what one has to
-// do, such as reading the platform's tail.
-func (h *Hosts) Speaker(domain string) string {
-	speaker := ""
-	for _, m := range h.members {
-		if m.Domain == domain && h.eligible(m) && (speaker == "" || m.Name < speaker) {
-			speaker = m.Name
-		}
-	}
-	return speaker
-}
-
 // Leave marks the host itself as leaving and tells all live hosts at once.
 func (h *Hosts) Leave(now timekeeper.Millis) []Send {
 	h.set(h.self.WithState(StateLeaving))
@@ -225,193 +165,6 @@
 	return count
 }
 
-// Tick sends the probes that are due and judges those that got no answer.
-func (h *Hosts) Tick(now timekeeper.Millis) []Send {
-	out := h.overdue(now)
-	for _, name := range h.sortedSuspects() {
-		if now >= h.suspects[name] {
-			h.log("watcher: %s answered neither this host nor others and counts as dead", name)
-			h.set(h.members[name].WithState(StateDead))
-		}
-	}
-	if now >= h.next {
-		h.next = now + h.settings.Period
-		if target, found := h.target(); found {
-			out = append(out, h.ping(now, target))
-		}
-	}
-	return out
-}
-
-func (h *Hosts) sortedSuspects() []string {
-	names := make([]string, 0, len(h.suspects))
-	for name := range h.suspects {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
-}
-
-// overdue handles probes without an answer: first others are asked to probe the
-// host too, then it is suspected.
-func (h *Hosts) overdue(now timekeeper.Millis) []Send {
-	var late []uint64
-	for number, p := range h.probes {
-		if now >= p.due {
-			late = append(late, number)
-		}
-	}
-	slices.Sort(late)
-	var out []Send
-	for _, number := range late {
-		p := h.probes[number]
-		if p.origin != "" {
-			delete(h.probes, number)
-			continue
-		}
-		if !p.relayed {
-			p.relayed = true
-			p.due = now + h.settings.Timeout
-			h.probes[number] = p
-			out = append(out, h.askOthers(p.target, number)...)
-			continue
-		}
-		delete(h.probes, number)
-		h.suspect(now, p.target)
-	}
-	return out
-}
-
-func (h *Hosts) askOthers(target string, number uint64) []Send {
-	var out []Send
-	for _, m := range h.Members() {
-		if len(out) == relays {
-			break
-		}
-		if m.Name != h.self.Name && m.Name != target && m.State == StateLive {
-			out = append(out, Send{To: m, Message: h.message(TypeRelay, number, target)})
-		}
-	}
-	return out
-}
-
-func (h *Hosts) suspect(now timekeeper.Millis, name string) {
-	m, found := h.members[name]
-	if !found || m.State != StateLive {
-		return
-	}
-	h.log("watcher: %s is suspected, it has %d ms to answer", name, h.settings.Refute)
-	h.set(m.WithState(StateSuspect))
-	h.suspects[name] = now + h.settings.Refute
-}
-
-// target returns the next host to probe, in rounds over all hosts in an order
-// drawn anew for each round. Dead hosts are probed too, to see them return.
-func (h *Hosts) target() (Member, bool) {
-	for range 2 {
-		for len(h.order) > 0 {
-			name := h.order[0]
-			h.order = h.order[1:]
-			if m, found := h.members[name]; found && m.State != StateLeaving {
-				return m, true
-			}
-		}
-		h.order = h.shuffled()
-	}
-	return Member{}, false
-}
-
-func (h *Hosts) shuffled() []string {
-	var names []string
-	for _, m := range h.Members() {
-		if m.Name != h.self.Name {
-			names = append(names, m.Name)
-		}
-	}
-	for i := len(names) - 1; i > 0; i-- {
-		h.seed = h.seed*6364136223846793005 + 1442695040888963407
-		j := int(h.seed>>33) % (i + 1)
-		names[i], names[j] = names[j], names[i]
-	}
-	return names
-}
-
-func (h *Hosts) ping(now timekeeper.Millis, to Member) Send {
-	h.number++
-	h.probes[h.number] = probe{target: to.Name, due: now + h.settings.Timeout}
-	return Send{To: to, Message: h.message(TypePing, h.number, "")}
-}
-
-// message makes a message that carries the news sent least often so far.
-func (h *Hosts) message(t Type, number uint64, target string) Message {
-	m := Message{Type: t, From: h.self, Number: number, Target: target, Lists: h.Lists}
-	names := make([]string, 0, len(h.news))
-	for name := range h.news {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if c := cmp.Compare(h.news[b], h.news[a]); c != 0 {
-			return c
-		}
-		return strings.Compare(a, b)
-	})
-	for _, name := range names {
-		if len(m.News) == newsLimit {
-			break
-		}
-		m.News = append(m.News, h.members[name])
-		h.news[name]--
-		if h.news[name] <= 0 {
-			delete(h.news, name)
-		}
-	}
-	return m
-}
-
-// Received takes a message from another host.
-func (h *Hosts) Received(now timekeeper.Millis, m Message) []Send {
-	h.hear(m.From)
-	for _, member := range m.News {
-		h.learn(now, member)
-	}
-	switch m.Type {
-	case TypePing:
-		return []Send{{To: h.members[m.From.Name], Message: h.message(TypeAck, m.Number, "")}}
-	case TypeRelay:
-		target, found := h.members[m.Target]
-		if !found {
-			return nil
-		}
-		send := h.ping(now, target)
-		p := h.probes[h.number]
-		p.origin = m.From.Name
-		p.number = m.Number
-		h.probes[h.number] = p
-		return []Send{send}
-	}
-	return h.acknowledged(m)
-}
-
-// acknowledged takes an answer to a probe, and passes it on if another host
-// asked for the probe.
-func (h *Hosts) acknowledged(m Message) []Send {
-	p, found := h.probes[m.Number]
-	if !found {
-		return nil
-	}
-	delete(h.probes, m.Number)
-	if p.origin == "" {
-		return nil
-	}
-	origin, found := h.members[p.origin]
-	if !found {
-		return nil
-	}
-	forward := h.message(TypeAck, p.number, "")
-	forward.News = append([]Member{m.From}, forward.News...)
-	return []Send{{To: origin, Message: forward}}
-}
-
 // hear takes a host's word about itself, which holds against any rumour of its
 // death.
 func (h *Hosts) hear(m Member) {
