--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -92,8 +92,8 @@
 	Decisions bool
 	// Lists are the operators' lists to begin with.
 	Lists planner.File
-	// TLS names the certificate for callers' connections, if any.
-	TLS *configurer.TLS
+	// Change changes the daemons' settings; it may be nil.
+	Change func(*configurer.Settings)
 	// Tune changes the daemons' decisions, for baselines.
 	Tune runner.Tune
 }
@@ -246,7 +246,6 @@
 	}
 	s := configurer.Default()
 	s.Log.Decisions = e.options.Decisions
-	s.TLS = e.options.TLS
 	s.Platform = e.Platform.Address()
 	s.Secret.File = secret
 	s.Tokens = []configurer.TokenKey{{Name: "first", Secret: configurer.Secret{File: secret}}}
@@ -269,6 +268,9 @@
 	for d := range e.size.Databases {
 		s.Databases = append(s.Databases, e.database(d))
 	}
+	if e.options.Change != nil {
+		e.options.Change(&s)
+	}
 	data, err := json.Marshal(s)
 	if err != nil {
 		return s, &Error{Op: "settings", Kind: KindStart, Err: err}
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/goleak"
 
+	"github.com/heatherhall/heatherhall/configurer"
 	"github.com/heatherhall/heatherhall/emulator"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/scheduler"
@@ -246,3 +247,33 @@
 	}
 	_, _ = conn.Read(make([]byte, 1))
 }
+
+// TestShutdownGivesUpInTime checks that a daemon ends, and says so, when work is
+// still in progress after the time for its shutdown.
+func TestShutdownGivesUpInTime(t *testing.T) {
+	e := start(t, 28, func(o *emulator.Options) {
+		o.Change = func(s *configurer.Settings) { s.Times.Drain = 300 }
+	})
+	conn := mustConnect(t, e, 0)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.PgConn().Exec(context.Background(), "SELECT pg_sleep(3)").ReadAll()
+		failed <- err
+	}()
+	for e.Daemons[0].Runner.Status().Pending == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- e.StopDaemon(e.Daemons[0]) }()
+	select {
+	case err := <-stopped:
+		if err == nil {
+			t.Error("the daemon reports a graceful shutdown")
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the daemon does not stop")
+	}
+	if err := <-failed; err == nil {
+		t.Error("the statement succeeded")
+	}
+}
--- a/emulator/tls_test.go
+++ b/emulator/tls_test.go
@@ -84,7 +84,9 @@
 	dir := t.TempDir()
 	files := configurer.TLS{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem")}
 	writeCertificate(t, files, 1)
-	e := start(t, 27, func(o *emulator.Options) { o.TLS = &files })
+	e := start(t, 27, func(o *emulator.Options) {
+		o.Change = func(s *configurer.Settings) { s.TLS = &files }
+	})
 	if got := serial(t, e.Daemons[0].Address); got != 1 {
 		t.Errorf("serial number %d, want 1", got)
 	}
--- a/listener/client.go
+++ b/listener/client.go
@@ -37,7 +37,9 @@
 	defaults classifier.Hints
 	prepared map[string]statement
 	outcomes chan dispatcher.Outcome
-	status   byte
+	// ended is closed with the connection.
+	ended  chan struct{}
+	status byte
 	// gone says that the proxy has lost the open transaction.
 	gone bool
 	// told is the floor in the token last sent to the caller.
@@ -58,6 +60,7 @@
 		id:       id,
 		prepared: map[string]statement{},
 		outcomes: make(chan dispatcher.Outcome, 1),
+		ended:    make(chan struct{}),
 		status:   statusIdle,
 	}
 }
@@ -65,7 +68,15 @@
 func (c *client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.end()
+}
+
+// end closes the connection. The client must be locked.
+func (c *client) end() {
+	if !c.closed {
+		c.closed = true
+		close(c.ended)
+	}
 	_ = c.conn.Close()
 }
 
@@ -79,10 +90,8 @@
 	}
 }
 
-// stopped sends the end of the connection. The client must be locked, or be in
-// its own goroutine.
+// stopped sends the end of the connection. The client must be locked.
 func (c *client) stopped() {
-	c.closed = true
 	data, err := (&pgproto3.ErrorResponse{
 		Severity: "FATAL",
 		Code:     decider.CodeShutdown,
@@ -91,7 +100,7 @@
 	if err == nil {
 		_, _ = c.conn.Write(data)
 	}
-	_ = c.conn.Close()
+	c.end()
 }
 
 // setBusy marks whether the caller has something in progress. It reports false
@@ -203,5 +212,10 @@
 			Payload:  b.payload,
 		})
 	}
-	return c.answer(b, <-c.outcomes)
+	select {
+	case outcome := <-c.outcomes:
+		return c.answer(b, outcome)
+	case <-c.ended:
+		return false
+	}
 }
