Decide on a read in under 2 us

Cause: route, admit and release of one read took 2.6 us, target 2. Change: command slices and the fitting function are reused. Measured on one core: 1784 ns, 976 bytes, 5 allocations (before 2631 ns, 1008 bytes, 7 allocations); the number of sessions plays no part.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -40,6 +40,7 @@
 	settings Settings
 	deps     Deps
 	out      []Command
+	spare    []Command
 
 	servers  []*server
 	byName   map[string]*server
@@ -63,6 +64,11 @@
 	costs   [scheduler.Ranks]float64
 	share   int
 	scratch []router.Candidate
+	// fits tells whether an item can start at now, and leaves its server in
+	// chosen.
+	fits   func(scheduler.Item) bool
+	now    timekeeper.Millis
+	chosen *server
 }
 
 // New returns a dispatcher that knows nothing yet of its servers' state.
@@ -88,6 +94,10 @@
 	for i := range d.costs {
 		d.costs[i] = serviceGuess
 	}
+	d.fits = func(item scheduler.Item) bool {
+		d.chosen = d.choose(d.now, item)
+		return d.chosen != nil
+	}
 	for _, s := range settings.Servers {
 		added := &server{Server: s, pool: pooler.New(s.Connections, s.Slots+1, deps.NextConn), service: serviceGuess}
 		d.servers = append(d.servers, added)
@@ -96,10 +106,12 @@
 	return d
 }
 
-// take returns the commands decided since the last call.
+// take returns the commands decided since the last call. The slice is used again
+// by the call after the next one.
 func (d *Dispatcher) take() []Command {
 	out := d.out
-	d.out = nil
+	d.out = d.spare[:0]
+	d.spare = out
 	return out
 }
 
@@ -286,15 +298,12 @@
 		if !open[scheduler.LanePrimary] && !open[scheduler.LaneAny] {
 			break
 		}
-		var chosen *server
-		item, found := d.queue.Pop(open, func(item scheduler.Item) bool {
-			chosen = d.choose(now, item)
-			return chosen != nil
-		})
+		d.now = now
+		item, found := d.queue.Pop(open, d.fits)
 		if !found {
 			break
 		}
-		d.start(now, d.jobs[item.ID], chosen)
+		d.start(now, d.jobs[item.ID], d.chosen)
 	}
 	d.preempt()
 	d.connect(now)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/heatherhall/heatherhall/dispatcher"
@@ -68,7 +69,7 @@
 
 // do takes commands; connections open at once.
 func (b *bench) do(commands []dispatcher.Command) {
-	for _, c := range commands {
+	for _, c := range slices.Clone(commands) {
 		switch command := c.(type) {
 		case dispatcher.OpenConn:
 			b.servers[command.Conn] = command.Server
