--- /dev/null
+++ b/classifier/error.go
@@ -0,0 +1,25 @@
+package classifier
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Text string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "hint " + e.Op + ": " + e.Text
+}
+
+func invalid(op, text string) error {
+	return &Error{Op: op, Kind: KindInvalid, Text: text}
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -18,32 +18,6 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// Kind tells errors of this package apart.
-type Kind string
-
-// Kinds of errors.
-const (
-	KindUsage Kind = "usage"
-	KindState Kind = "state"
-)
-
-// Error is the error type of this package.
-type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
-}
-
-// Error implements the error interface.
-func (e *Error) Error() string {
-	return e.Op + ": " + e.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
-}
-
 // Run runs the command line and returns the exit code: 0, or 1 after an error.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := &cli.Command{
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,33 +13,6 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// Kind tells errors of this package apart.
-type Kind string
-
-// Kinds of errors.
-const (
-	KindConnect  Kind = "connect"
-	KindProtocol Kind = "protocol"
-	KindServer   Kind = "server"
-)
-
-// Error is the error type of this package.
-type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
-}
-
-// Error implements the error interface.
-func (e *Error) Error() string {
-	return "connector: " + e.Op + ": " + e.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
-}
-
 // Target is a backend server's address with the credentials for it.
 type Target struct {
 	// Address is the server's IP number and port.
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -23,32 +23,6 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// Kind tells errors of this package apart.
-type Kind string
-
-// Kinds of errors.
-const (
-	KindStart   Kind = "start"
-	KindUnknown Kind = "unknown"
-)
-
-// Error is the error type of this package.
-type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
-}
-
-// Error implements the error interface.
-func (e *Error) Error() string {
-	return "emulator: " + e.Op + ": " + e.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
-}
-
 // Size is the size of a deployment.
 type Size struct {
 	Domains     []string          `json:"domains"`
--- /dev/null
+++ b/relayer/error.go
@@ -0,0 +1,29 @@
+package relayer
+
+// Kind tells errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen   Kind = "listen"
+	KindDial     Kind = "dial"
+	KindDenied   Kind = "denied"
+	KindProtocol Kind = "protocol"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return "relayer: " + e.Op + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- a/sessioner/token.go
+++ b/sessioner/token.go
@@ -11,28 +11,6 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// Kind tells errors of this package apart.
-type Kind string
-
-// Kinds of errors.
-const (
-	KindInvalid Kind = "invalid"
-	KindAltered Kind = "altered"
-	KindExpired Kind = "expired"
-)
-
-// Error is the error type of this package.
-type Error struct {
-	Op   string
-	Kind Kind
-	Text string
-}
-
-// Error implements the error interface.
-func (e *Error) Error() string {
-	return "sessioner: " + e.Op + ": " + e.Text
-}
-
 // tokenVersion is the format of the tokens made here.
 const tokenVersion = 1
 
