Pass the lists on as edits

Change: a daemon keeps the last 200 edits and sends its peer those that it lacks, the lists whole only to one further behind. Proof: TestEditsSpread: edits reach daemons cut from the platform, and one that starts during an outage, within 4 s of virtual time.

--- a/decider/command.go
+++ b/decider/command.go
@@ -90,6 +90,7 @@
 	Leaving *LeavingMail        `json:"leaving,omitempty"`
 	Fetch   *FetchMail          `json:"fetch,omitempty"`
 	Lists   *planner.File       `json:"lists,omitempty"`
+	Edits   []planner.Edit      `json:"edits,omitempty"`
 }
 
 // StepMail is a step of a transaction on its way to the home.
--- a/decider/node.go
+++ b/decider/node.go
@@ -19,9 +19,11 @@
 	seams    Seams
 	out      []Command
 
-	hosts   *watcher.Hosts
-	lists   planner.Lists
-	heard   bool
+	hosts *watcher.Hosts
+	lists planner.Lists
+	heard bool
+	// recent are the last edits, oldest first.
+	recent  []planner.Edit
 	homes   map[string]*home
 	pending map[string]*pending
 	callers map[uint64]string
--- a/decider/peer.go
+++ b/decider/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/heatherhall/heatherhall/dispatcher"
-	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/timekeeper"
 	"github.com/heatherhall/heatherhall/watcher"
 )
@@ -35,6 +34,8 @@
 		n.sendLists(now, from, m.Fetch.After)
 	case m.Lists != nil:
 		n.adopt(*m.Lists)
+	case len(m.Edits) > 0:
+		n.apply(m.Edits)
 	}
 }
 
@@ -80,59 +81,3 @@
 	}
 	return n.take()
 }
-
-func (n *Node) sendLists(now timekeeper.Millis, from string, after int64) {
-	if n.lists.Version() <= after {
-		return
-	}
-	file := n.lists.File()
-	n.mail(now, from, Mail{Lists: &file})
-}
-
-// adopt takes over lists of a higher version.
-func (n *Node) adopt(file planner.File) {
-	if file.Version <= n.lists.Version() {
-		return
-	}
-	lists, err := file.Lists()
-	if err != nil {
-		n.logf("planner: lists of version %d from a peer are refused: %v", file.Version, err)
-		return
-	}
-	n.setLists(lists)
-}
-
-func (n *Node) setLists(lists planner.Lists) {
-	if lists.Version() < n.lists.Version() && n.seams.Violated != nil {
-		n.seams.Violated("planner: lists went back from %d to %d", n.lists.Version(), lists.Version())
-	}
-	n.lists = lists
-	n.heard = true
-	n.hosts.Lists = lists.Version()
-	n.logf("planner: lists of version %d are in force", lists.Version())
-}
-
-// TailRead takes the edits read from the platform after the present version, in
-// order, or a snapshot that is newer than them.
-func (n *Node) TailRead(_ timekeeper.Millis, snapshot *planner.File, edits []planner.Edit) []Command {
-	n.heard = true
-	if snapshot != nil {
-		n.adopt(*snapshot)
-	}
-	lists := n.lists
-	for _, e := range edits {
-		if e.Base < lists.Version() {
-			continue
-		}
-		next, err := lists.With(e)
-		if err != nil {
-			n.logf("planner: edit %s is passed over: %v", e.ID, err)
-			next = lists.Passed(e)
-		}
-		lists = next
-	}
-	if lists.Version() > n.lists.Version() {
-		n.setLists(lists)
-	}
-	return n.take()
-}
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -1,6 +1,7 @@
 package decider_test
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"runtime"
@@ -10,6 +11,7 @@
 
 	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/sessioner"
@@ -404,3 +406,34 @@
 		}
 	}
 }
+
+// TestEditsSpread checks that edits are in force on every daemon within 4 s, also
+// on those that can't reach the platform, and that a daemon that restarts during an
+// outage gets them from its peers.
+func TestEditsSpread(t *testing.T) {
+	w := newWorld(1, 0, func(string, ...any) {})
+	w.run(3000)
+	w.cuts["h1|platform"] = true
+	w.cuts["h2|platform"] = true
+	for base := int64(1); base <= 3; base++ {
+		edit := planner.Edit{ID: fmt.Sprint(base), Base: base, Plans: []planner.Plan{{Name: "gold", Databases: []string{"*"}, Rate: 100}}}
+		data, err := json.Marshal(edit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.store.Put(planner.Key(base+1), 0, data)
+	}
+	w.run(4000)
+	w.down = true
+	w.startDaemon("h0", w.daemons["h0"].domain)
+	w.run(4000)
+	for _, name := range w.names {
+		node := w.daemons[name].node
+		if got := node.Lists().Version(); got != 4 || !node.Ready() {
+			t.Errorf("%s has version %d, ready %v, want 4 and ready", name, got, node.Ready())
+		}
+	}
+	for _, failure := range w.failures {
+		t.Error(failure)
+	}
+}
