--- a/commander/status.go
+++ b/commander/status.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -70,7 +72,8 @@
 	}
 	_, _ = fmt.Fprintln(w, "\nDATABASE\tSERVER\tROLE\tPROMISED\tHELD\tAPPLIED")
 	for _, d := range s.Databases {
-		for name, r := range d.Reports {
+		for _, name := range slices.Sorted(maps.Keys(d.Reports)) {
+			r := d.Reports[name]
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%v\n", d.Name, name, r.Role, r.Promised, r.Held, r.Applied)
 		}
 	}
--- a/decider/entry.go
+++ b/decider/entry.go
@@ -53,6 +53,7 @@
 	if within <= 0 {
 		within = defaultWithin
 	}
+	n.earnRetry(r.Customer)
 	floor, sure := r.Session.Floor(r.Database)
 	work := dispatcher.Work{
 		ID:       n.nextID(),
--- a/decider/limit.go
+++ b/decider/limit.go
@@ -41,6 +41,33 @@
 	return 0
 }
 
+const (
+	// retryEarned is the part of a retry that each request of a customer adds to
+	// its budget at this daemon.
+	retryEarned = 0.1
+	// retryLimit is the greatest number of retries a customer saves up, and what it
+	// begins with.
+	retryLimit = 10.0
+)
+
+// earnRetry adds a request's part to its customer's retry budget.
+func (n *Node) earnRetry(customer string) {
+	present, found := n.retries[customer]
+	if !found {
+		present = retryLimit
+	}
+	n.retries[customer] = min(retryLimit, present+retryEarned)
+}
+
+// spendRetry takes one retry from a customer's budget, if there is one.
+func (n *Node) spendRetry(customer string) bool {
+	if n.retries[customer] < 1 {
+		return false
+	}
+	n.retries[customer]--
+	return true
+}
+
 // tickLimits forgets what is no longer needed of customers.
 func (n *Node) tickLimits(now timekeeper.Millis) {
 	for key, until := range n.blocked {
--- a/decider/node.go
+++ b/decider/node.go
@@ -28,6 +28,8 @@
 	pending map[string]*pending
 	callers map[uint64]string
 	buckets map[string]*bucket
+	// retries is what is left of each customer's retry budget.
+	retries map[string]float64
 	blocked map[blockKey]timekeeper.Millis
 	leaving LeavingMail
 	// unreachable holds until when mail to a host takes a detour.
@@ -56,6 +58,7 @@
 		pending:     map[string]*pending{},
 		callers:     map[uint64]string{},
 		buckets:     map[string]*bucket{},
+		retries:     map[string]float64{},
 		blocked:     map[blockKey]timekeeper.Millis{},
 		unreachable: map[string]timekeeper.Millis{},
 	}
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -437,3 +437,32 @@
 		t.Error(failure)
 	}
 }
+
+// TestResendsAreBounded lets the home of a database be lost again and again: a
+// customer's work is given to another home at most as often as its budget allows.
+func TestResendsAreBounded(t *testing.T) {
+	w := newWorld(1, 0, func(string, ...any) {})
+	w.run(3000)
+	home := w.daemons["h0"].node.Hosts().Home(worldDatabase)
+	entry := "h0"
+	if home == entry {
+		entry = "h1"
+	}
+	node := w.daemons[entry].node
+	sent := 0
+	count := func(commands []decider.Command) {
+		for _, c := range commands {
+			if mail, ok := c.(decider.ToPeer); ok && (mail.Mail.Work != nil || mail.Mail.Forward != nil) {
+				sent++
+			}
+		}
+	}
+	const requests = 400
+	for i := range uint64(requests) {
+		count(node.Submit(w.now, decider.Request{Caller: i + 1, Customer: "coop", Database: worldDatabase, Payload: batch{Op: "read"}.encode()}))
+		count(node.PeerLost(w.now, home))
+	}
+	if limit := requests*11/10 + 10; sent > limit || sent <= requests {
+		t.Errorf("work was sent %d times for %d requests, want more than those and at most %d", sent, requests, limit)
+	}
+}
--- a/decider/resend.go
+++ b/decider/resend.go
@@ -43,7 +43,7 @@
 		p.open = false
 	case !repeatable:
 		n.reply(p, unknown("the daemon that ran the work was lost before its answer came"))
-	case p.resends >= resendLimit || now >= p.due:
+	case p.resends >= resendLimit || now >= p.due || !n.spendRetry(p.work.Customer):
 		n.giveUp(p)
 	default:
 		n.resend(now, p)
--- a/loader/report.go
+++ b/loader/report.go
@@ -48,10 +48,10 @@
 		Policy:  r.experiment.Policy,
 		Seconds: r.experiment.Run.Duration().Seconds(),
 	}
-	replica, all := r.replicaReads()
-	out.Reads = all
-	if all > 0 {
-		out.Replica = replica / all
+	counted := r.reads()
+	out.Reads = counted.all - r.warm.all
+	if out.Reads > 0 {
+		out.Replica = (counted.replica - r.warm.replica) / out.Reads
 	}
 	for _, s := range r.streams {
 		out.Streams = append(out.Streams, s.report(out.Seconds))
--- a/loader/run.go
+++ b/loader/run.go
@@ -33,6 +33,14 @@
 	targets    []string
 	streams    []*stream
 	start      time.Time
+	// warm are the reads counted before the measured part.
+	warm reads
+}
+
+// reads are numbers of reads answered.
+type reads struct {
+	replica float64
+	all     float64
 }
 
 // Run runs an experiment and returns its report. Daemons' logs go to log.
@@ -176,8 +184,14 @@
 	return <-failed
 }
 
-// faults carries out the fault script.
+// faults carries out the fault script of the measured part.
 func (r *run) faults(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(time.Until(r.start)):
+	}
+	r.warm = r.reads()
 	for _, f := range r.experiment.Faults {
 		select {
 		case <-ctx.Done():
@@ -204,10 +218,11 @@
 	return r.emulation.SetHosts(ctx, string(f.Hosts))
 }
 
-// replicaReads returns the numbers of reads answered by replicas and in all.
-func (r *run) replicaReads() (replica, all float64) {
+// reads returns the numbers of reads that the daemons have answered so far.
+func (r *run) reads() reads {
+	var out reads
 	if r.emulation == nil {
-		return 0, 0
+		return out
 	}
 	for _, d := range r.emulation.Daemons {
 		for _, role := range []string{"replica", "primary"} {
@@ -215,11 +230,11 @@
 			if err := d.Runner.Metrics().Reads.WithLabelValues(role).Write(&m); err != nil {
 				continue
 			}
-			all += m.GetCounter().GetValue()
+			out.all += m.GetCounter().GetValue()
 			if role == "replica" {
-				replica += m.GetCounter().GetValue()
+				out.replica += m.GetCounter().GetValue()
 			}
 		}
 	}
-	return replica, all
+	return out
 }
--- a/sequencer/history_test.go
+++ b/sequencer/history_test.go
@@ -97,3 +97,17 @@
 		})
 	}
 }
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"role":"replica","held":{"term":1,"offset":2},"history":[{"term":1,"start":0}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r sequencer.Report
+		if json.Unmarshal(data, &r) != nil {
+			return
+		}
+		clamped := r.History.Clamp(r.Held)
+		if r.History.Term() >= r.Held.Term && r.Held.Before(clamped) {
+			t.Errorf("%v was clamped up to %v", r.Held, clamped)
+		}
+	})
+}
