--- a/boundary_test.go
+++ b/boundary_test.go
@@ -8,8 +8,8 @@
 
 // decisionPackages decide; they do no I/O and read no clock.
 var decisionPackages = []string{
-	"acknowledger", "decider", "deduplicator", "dispatcher", "planner", "pooler",
-	"promoter", "router", "scheduler", "sequencer", "sessioner", "watcher",
+	"acknowledger", "cataloger", "decider", "deduplicator", "dispatcher", "elector",
+	"multiplexer", "planner", "pooler", "promoter", "router", "scheduler", "sequencer", "sessioner", "watcher",
 }
 
 // forbidden are packages through which a decision could reach the world.
--- /dev/null
+++ b/elector/change.go
@@ -0,0 +1,461 @@
+package elector
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// stage is how far a change of primary is that this daemon leads.
+type stage int
+
+const (
+	stageNone stage = iota
+	stageCheck
+	stageCollect
+	stageStepDown
+	stageChoose
+	stagePromote
+	stageConfirm
+)
+
+// change is a change of primary that this daemon leads.
+type change struct {
+	stage  stage
+	number int64
+	reason Reason
+	// announced is when the store had accepted the announcement.
+	announced timekeeper.Millis
+	started   timekeeper.Millis
+	// final is the last entry of the primary that stepped down.
+	final sequencer.Position
+	// seen is the highest position that any daemon was told of.
+	seen     sequencer.Position
+	accounts map[string]Account
+	pending  int
+	// round counts surveys, so that late answers to an old one are passed over.
+	round   int
+	due     timekeeper.Millis
+	chosen  string
+	confirm timekeeper.Millis
+}
+
+// reasonFor returns why a group's primary should be changed, as this daemon
+// sees it.
+func (e *Elector) reasonFor(now timekeeper.Millis, g *group) Reason {
+	id := g.primary()
+	if id == "" {
+		return ""
+	}
+	server, registered := e.byID[id]
+	if registered && server.Leaving {
+		return ReasonHandover
+	}
+	signs := e.deps.Signs(g.name, id)
+	if signs.Silent > 0 && now-signs.Silent >= e.settings.Suspect {
+		return ReasonFailure
+	}
+	return ""
+}
+
+// lead starts a change of primary where there is a reason, and carries on the
+// one that this daemon leads.
+func (e *Elector) lead(now timekeeper.Millis, g *group) {
+	if e.leaving || !e.registered() {
+		return
+	}
+	reason := e.reasonFor(now, g)
+	if reason != g.reason {
+		g.reason, g.since = reason, now
+	}
+	if g.reign.Change != "" {
+		reason = g.reign.Change
+	}
+	if reason == "" && g.change.stage == stageNone {
+		return
+	}
+	if e.duty.Holder != e.settings.Self.Name {
+		g.change = change{}
+		e.seekDuty(now, g)
+		return
+	}
+	if now < g.change.due || now < g.pausedUntil && g.reign.Change == "" {
+		return
+	}
+	switch {
+	case g.change.stage == stageNone && g.reign.Change == "":
+		e.check(now, g, reason)
+	case g.change.stage == stageNone || g.change.stage == stageCheck && g.reign.Change != "":
+		g.change = change{stage: stageCollect, number: g.reign.Number, reason: g.reign.Change, announced: now, started: now}
+	case g.reign.Change == "" && g.change.stage > stageCheck:
+		g.change = change{}
+	case g.change.stage == stageCollect:
+		e.collect(now, g)
+	case g.change.stage == stageStepDown:
+		e.stepDown(now, g)
+	case g.change.stage == stageChoose:
+		e.choose(now, g)
+	case g.change.stage == stagePromote:
+		e.promote(now, g)
+	case g.change.stage == stageConfirm:
+		e.confirm(now, g)
+	}
+}
+
+// seekDuty takes the duty where nobody has it, or its holder gives no sign of
+// life while there is a reason for a change.
+func (e *Elector) seekDuty(now timekeeper.Millis, g *group) {
+	if e.dutyBusy {
+		return
+	}
+	if e.duty.Holder != "" {
+		_, registered := e.hosts[e.duty.Holder]
+		started := g.since
+		if g.reign.Change != "" {
+			started = g.announced
+		}
+		if registered && (e.live(now, e.duty.Holder) || now-started < e.settings.Takeover) {
+			return
+		}
+	}
+	next := Duty{Holder: e.settings.Self.Name, Fence: e.duty.Fence + 1}
+	e.dutyBusy = true
+	e.log("takes the duty of changing primaries", observer.F("holder", e.duty.Holder), observer.F("fence", next.Fence),
+		observer.F("live", e.live(now, e.duty.Holder)))
+	e.write(Transaction{
+		Expect: []Row{{Key: dutyKey, Version: e.rows[dutyKey].Version}},
+		Set:    []Row{encode(dutyKey, next)},
+	}, func(_ timekeeper.Millis, result Result) {
+		e.dutyBusy = false
+		e.log("duty", observer.F("result", result.String()))
+		e.out = append(e.out, Reread{})
+	})
+}
+
+// check looks for a successor before the primary's work is stopped.
+func (e *Elector) check(now timekeeper.Millis, g *group, reason Reason) {
+	c := &g.change
+	*c = change{stage: stageCheck, reason: reason, started: now, due: now + 4*retryInterval, round: c.round}
+	e.survey(g, func(now timekeeper.Millis) {
+		if g.change.stage != stageCheck {
+			return
+		}
+		best := bestOf(c.accounts)
+		signs := e.deps.Signs(g.name, g.primary())
+		behind := reason == ReasonHandover && best != "" && c.accounts[best].Received.Offset+handoverGap < signs.Seen.Offset
+		if best == "" || behind && now-g.since < e.settings.Patience/2 {
+			e.log("no server can succeed the primary now", observer.F("group", g.name), observer.F("reason", string(reason)),
+				observer.F("best", best), observer.F("received", c.accounts[best].Received.String()), observer.F("seen", signs.Seen.String()))
+			g.change = change{due: now + retryInterval, round: c.round}
+			return
+		}
+		e.announce(now, g, reason)
+	})
+}
+
+// handoverGap is how many entries a successor may lack when a planned change is
+// announced; it receives them while work is stopped.
+const handoverGap = 20
+
+// announce writes that a change of primary is under way.
+func (e *Elector) announce(now timekeeper.Millis, g *group, reason Reason) {
+	next := g.reign
+	next.Primary = g.primary()
+	next.Number++
+	next.Change = reason
+	if next.Term == 0 {
+		next.Term = e.deps.Signs(g.name, next.Primary).Term
+	}
+	if next.Term == 0 {
+		for _, account := range g.change.accounts {
+			next.Term = max(next.Term, account.Term)
+		}
+	}
+	if len(next.History) == 0 {
+		next.History = next.History.With(next.Term, 0)
+	}
+	g.change.due = now + e.settings.Takeover
+	e.log("announces a change of primary", observer.F("group", g.name), observer.F("reason", string(reason)),
+		observer.F("primary", next.Primary), observer.F("term", next.Term), observer.F("number", next.Number), observer.F("fence", e.duty.Fence))
+	e.writeReign(g, next, func(now timekeeper.Millis, result Result) {
+		if result != Applied {
+			g.change = change{due: now + retryInterval}
+			e.out = append(e.out, Reread{})
+			return
+		}
+		if g.change.stage == stageCheck {
+			g.change.stage, g.change.number, g.change.announced, g.change.due = stageCollect, next.Number, now, 0
+		}
+		e.out = append(e.out, Reread{})
+	})
+}
+
+// writeReign replaces a group's row while this daemon has the duty.
+func (e *Elector) writeReign(g *group, next Reign, done func(timekeeper.Millis, Result)) {
+	e.write(Transaction{
+		Expect: []Row{{Key: reignPrefix + g.name, Version: g.reignVersion}, {Key: dutyKey, Version: e.rows[dutyKey].Version}},
+		Set:    []Row{encode(reignPrefix+g.name, next)},
+	}, done)
+}
+
+// collect waits until every registered daemon has released the primary or may
+// no longer use it.
+func (e *Elector) collect(now timekeeper.Millis, g *group) {
+	c := &g.change
+	lapsed := now >= c.announced+e.settings.Lease+e.settings.Slack
+	var missing []string
+	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
+		ack, found := e.acks[g.name][name]
+		if !found || ack.Number != c.number || ack.Incarnation != e.hosts[name].Incarnation {
+			missing = append(missing, name)
+			continue
+		}
+		if ack.Objects {
+			e.cancel(now, g, "a daemon reaches the primary: "+name)
+			return
+		}
+		c.seen = sequencer.Max(c.seen, ack.Seen)
+	}
+	if len(missing) > 0 && !lapsed {
+		return
+	}
+	e.log("the primary is released", observer.F("group", g.name), observer.F("number", c.number), observer.F("lapsed", len(missing)),
+		observer.F("took", int64(now-c.announced)), observer.F("seen", c.seen.String()))
+	if len(missing) > 0 {
+		e.dropLapsed(g, missing)
+	}
+	c.stage = stageStepDown
+	e.stepDown(now, g)
+}
+
+// dropLapsed deletes the registrations of daemons whose right to use any
+// primary has ended; those that live register again.
+func (e *Elector) dropLapsed(g *group, names []string) {
+	tx := Transaction{Expect: []Row{{Key: reignPrefix + g.name, Version: g.reignVersion}}}
+	for _, name := range names {
+		if name != e.settings.Self.Name {
+			tx.Expect = append(tx.Expect, Row{Key: hostPrefix + name, Version: e.rows[hostPrefix+name].Version})
+			tx.Delete = append(tx.Delete, hostPrefix+name)
+		}
+	}
+	e.write(tx, func(_ timekeeper.Millis, result Result) {
+		e.log("registrations of lapsed daemons deleted", observer.F("result", result.String()))
+	})
+}
+
+// stepDown makes the old primary a replica where it can be reached, so that no
+// caller's write can succeed there.
+func (e *Elector) stepDown(now timekeeper.Millis, g *group) {
+	c := &g.change
+	server, registered := e.byID[g.reign.Primary]
+	if !registered {
+		c.stage = stageChoose
+		e.choose(now, g)
+		return
+	}
+	number := c.number
+	c.due = now + e.settings.Takeover
+	e.inspect(server, Order{Demand: DemandStepDown, Term: g.reign.Term + 1}, func(now timekeeper.Millis, account Account, err error) {
+		if g.change.stage != stageStepDown || g.change.number != number {
+			return
+		}
+		c.due = now
+		if err != nil && c.reason == ReasonHandover && now-c.announced < e.settings.Patience/4 {
+			c.due = now + retryInterval/3
+			return
+		}
+		if err == nil && c.reason == ReasonFailure && account.Primary {
+			e.cancel(now, g, "the primary answers again")
+			return
+		}
+		if err == nil {
+			c.final = account.Received
+		}
+		e.log("old primary asked to step down", observer.F("group", g.name), observer.F("server", server.ID),
+			observer.F("primary", account.Primary), observer.F("received", account.Received.String()), observer.F("error", errorText(err)))
+		c.stage = stageChoose
+		e.choose(now, g)
+	})
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// survey asks all servers that may succeed for their accounts.
+func (e *Elector) survey(g *group, done func(timekeeper.Millis)) {
+	c := &g.change
+	c.accounts = map[string]Account{}
+	c.round++
+	round, number := c.round, c.number
+	var asked []cataloger.Server
+	for _, s := range e.members(g.name) {
+		if s.ID != g.primary() && !s.Leaving {
+			asked = append(asked, s)
+		}
+	}
+	c.pending = len(asked)
+	for _, s := range asked {
+		e.inspect(s, Order{}, func(now timekeeper.Millis, account Account, err error) {
+			if c.number != number || c.round != round {
+				return
+			}
+			c.pending--
+			if err == nil {
+				c.accounts[s.ID] = account
+			}
+			if c.pending == 0 {
+				done(now)
+			}
+		})
+	}
+}
+
+// bestOf returns the server that received most, or an empty text.
+func bestOf(accounts map[string]Account) string {
+	best := ""
+	for _, id := range slices.Sorted(maps.Keys(accounts)) {
+		if best == "" || accounts[best].Received.Before(accounts[id].Received) {
+			best = id
+		}
+	}
+	return best
+}
+
+// choose picks the successor: the server that received most, once it holds all
+// that is known to be committed or patience has ended.
+func (e *Elector) choose(now timekeeper.Millis, g *group) {
+	c := &g.change
+	c.due = now + 4*retryInterval
+	e.survey(g, func(now timekeeper.Millis) {
+		if g.change.stage != stageChoose {
+			return
+		}
+		c.due = now + resumeLeast
+		best := bestOf(c.accounts)
+		if best == "" {
+			return
+		}
+		account := c.accounts[best]
+		if account.Primary && account.Term > g.reign.Term {
+			c.chosen, c.stage, c.confirm, c.due = best, stageConfirm, now, now
+			return
+		}
+		wanted := sequencer.Max(c.final, c.seen)
+		if account.Received.Before(wanted) && now-c.announced < e.settings.Patience {
+			if old, registered := e.byID[g.reign.Primary]; registered && c.reason == ReasonFailure {
+				e.revive(now, g, old)
+			}
+			return
+		}
+		e.log("chooses a successor", observer.F("group", g.name), observer.F("server", best), observer.F("received", account.Received.String()),
+			observer.F("final", c.final.String()), observer.F("seen", c.seen.String()), observer.F("loses", max(wanted.Offset-account.Received.Offset, 0)))
+		c.chosen, c.stage, c.due = best, stagePromote, now
+		e.promote(now, g)
+	})
+}
+
+// revive cancels a change when the old primary is back while no server holds
+// all of its commits.
+func (e *Elector) revive(_ timekeeper.Millis, g *group, old cataloger.Server) {
+	number := g.change.number
+	e.inspect(old, Order{}, func(now timekeeper.Millis, account Account, err error) {
+		if err == nil && account.Primary && g.change.number == number && g.change.stage == stageChoose {
+			e.cancel(now, g, "the primary answers again")
+		}
+	})
+}
+
+// promote asks the platform for the change.
+func (e *Elector) promote(now timekeeper.Millis, g *group) {
+	c := &g.change
+	if now-e.readAt > dutyFresh {
+		c.due = now + resumeLeast
+		e.out = append(e.out, Reread{})
+		return
+	}
+	c.due = now + 2*e.settings.Suspect
+	number := c.number
+	e.number++
+	e.posting[e.number] = func(now timekeeper.Millis, err error) {
+		if g.change.number != number || g.change.stage != stagePromote {
+			return
+		}
+		e.log("promotion asked for", observer.F("group", g.name), observer.F("server", c.chosen), observer.F("fence", e.duty.Fence),
+			observer.F("error", errorText(err)))
+		if err != nil {
+			c.due = now + retryInterval
+			c.stage = stageChoose
+			return
+		}
+		c.stage, c.confirm, c.due = stageConfirm, now, now+resumeLeast
+	}
+	e.out = append(e.out, Promote{ID: e.number, Promotion: Promotion{
+		Group: g.name, Server: c.chosen, Holder: e.settings.Self.Name, Fence: e.duty.Fence,
+	}})
+}
+
+// dutyFresh is how recently the rows must have been read when a promotion is
+// asked for, so that a daemon that was suspended does not act on an old duty.
+const dutyFresh timekeeper.Millis = 2500
+
+// confirm waits until the successor leads, and then writes so.
+func (e *Elector) confirm(now timekeeper.Millis, g *group) {
+	c := &g.change
+	server, registered := e.byID[c.chosen]
+	if !registered || now-c.confirm > 4*e.settings.Suspect {
+		c.stage, c.due = stageChoose, now
+		return
+	}
+	c.due = now + 2*e.settings.Suspect
+	number := c.number
+	e.inspect(server, Order{}, func(now timekeeper.Millis, account Account, err error) {
+		if g.change.number != number || g.change.stage != stageConfirm {
+			return
+		}
+		c.due = now + confirmInterval
+		if err != nil || !account.Primary || account.Term <= g.reign.Term {
+			return
+		}
+		next := Reign{
+			Term: account.Term, Primary: c.chosen, Number: number, Took: now - c.started,
+			History: g.reign.History.With(account.Term, account.Received.Offset),
+		}
+		c.due = now + e.settings.Suspect
+		e.log("the successor leads", observer.F("group", g.name), observer.F("server", c.chosen), observer.F("term", account.Term),
+			observer.F("start", account.Received.Offset), observer.F("took", int64(next.Took)))
+		e.writeReign(g, next, func(now timekeeper.Millis, result Result) {
+			c.due = now + resumeLeast
+			if result == Applied {
+				g.change = change{}
+			}
+			e.out = append(e.out, Reread{})
+		})
+	})
+}
+
+// confirmInterval is the time between two questions whether the successor leads.
+const confirmInterval timekeeper.Millis = 40
+
+// cancel ends a change whose primary is still good.
+func (e *Elector) cancel(now timekeeper.Millis, g *group, why string) {
+	next := g.reign
+	next.Change = ""
+	g.pausedUntil = now + e.settings.Pause
+	g.change.due = now + e.settings.Suspect
+	e.log("cancels a change of primary", observer.F("group", g.name), observer.F("number", g.reign.Number), observer.F("why", why))
+	e.writeReign(g, next, func(now timekeeper.Millis, result Result) {
+		g.change.due = now + resumeLeast
+		if result == Applied {
+			g.change = change{}
+		}
+		e.out = append(e.out, Reread{})
+	})
+}
--- /dev/null
+++ b/elector/elector.go
@@ -0,0 +1,424 @@
+package elector
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Settings steer an elector.
+type Settings struct {
+	Self Host
+	// Lease is how long a reading of the store allows the use of a primary. It
+	// exceeds common outages, since its end stops service; a change of primary
+	// waits for it only where a daemon does not answer.
+	Lease timekeeper.Millis
+	// Slack is added to Lease on the side of the change, for differing clocks.
+	Slack timekeeper.Millis
+	// Suspect is how long a primary must be silent before a change is announced.
+	Suspect timekeeper.Millis
+	// Alive is how recently a primary must have answered for an objection.
+	Alive timekeeper.Millis
+	// Settle is how long statements may go on after a change was announced.
+	Settle timekeeper.Millis
+	// Patience is how long a change waits for a server that holds all commits
+	// seen, before it takes the best one there is.
+	Patience timekeeper.Millis
+	// Pause is how long after a cancelled change no new one is announced.
+	Pause timekeeper.Millis
+	// Takeover is how long the holder of the duty must be silent before another
+	// daemon takes it.
+	Takeover timekeeper.Millis
+	// Beat is the time between two signs of life.
+	Beat timekeeper.Millis
+	// Change is how long a change of primary is expected to take before any was
+	// measured.
+	Change timekeeper.Millis
+}
+
+// DefaultSettings returns the settings of a daemon.
+func DefaultSettings(self Host) Settings {
+	return Settings{
+		Self:     self,
+		Lease:    12_000,
+		Slack:    500,
+		Suspect:  1200,
+		Alive:    800,
+		Settle:   300,
+		Patience: 8000,
+		Pause:    2000,
+		Takeover: 5000,
+		Beat:     1500,
+		Change:   1400,
+	}
+}
+
+// Signs is what the daemon's own traffic tells of a group's primary.
+type Signs struct {
+	// Heard is when the server answered last; 0 for never.
+	Heard timekeeper.Millis
+	// Silent is since when the server does not answer, though asked; 0 if it
+	// does.
+	Silent timekeeper.Millis
+	// Settled says that nothing runs on the primary any more.
+	Settled bool
+	// Seen is the highest position that the primary told of.
+	Seen sequencer.Position
+	// Term is the primary's term as far as its answers tell.
+	Term int64
+}
+
+// Deps are what an elector needs of its daemon. All fields are seams.
+type Deps struct {
+	// Signs tells of a group's primary.
+	Signs func(group, server string) Signs
+	// Log writes a decision's line; nil writes none.
+	Log func(observer.Decision)
+}
+
+// beatSeen is a daemon's last sign of life and when it was first seen here.
+type beatSeen struct {
+	beat Beat
+	at   timekeeper.Millis
+}
+
+// Elector is one daemon's decisions on who leads. It is not safe for concurrent
+// use.
+type Elector struct {
+	settings Settings
+	deps     Deps
+	out      []Command
+
+	rows    map[string]Row
+	version int64
+	// readAt is when the rows were last asked for whole, and read whether they
+	// ever were.
+	readAt timekeeper.Millis
+	read   bool
+	hosts  map[string]Host
+	acks   map[string]map[string]Ack
+	duty   Duty
+	beats  map[string]beatSeen
+	groups map[string]*group
+	byID   map[string]cataloger.Server
+
+	number  uint64
+	writing map[uint64]func(now timekeeper.Millis, result Result)
+	asking  map[uint64]func(now timekeeper.Millis, account Account, err error)
+	posting map[uint64]func(now timekeeper.Millis, err error)
+
+	registering bool
+	registerDue timekeeper.Millis
+	leaving     bool
+	dutyBusy    bool
+}
+
+// New returns an elector that has read nothing yet.
+func New(settings Settings, deps Deps) *Elector {
+	if deps.Log == nil {
+		deps.Log = func(observer.Decision) {}
+	}
+	return &Elector{
+		settings: settings, deps: deps,
+		rows: map[string]Row{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
+		beats: map[string]beatSeen{}, groups: map[string]*group{}, byID: map[string]cataloger.Server{},
+		writing: map[uint64]func(timekeeper.Millis, Result){},
+		asking:  map[uint64]func(timekeeper.Millis, Account, error){},
+		posting: map[uint64]func(timekeeper.Millis, error){},
+	}
+}
+
+func (e *Elector) take() []Command {
+	out := e.out
+	e.out = nil
+	return out
+}
+
+func (e *Elector) log(outcome string, fields ...observer.Field) {
+	e.deps.Log(observer.Decision{Part: "elector", Outcome: outcome, Inputs: fields})
+}
+
+func (e *Elector) write(tx Transaction, done func(timekeeper.Millis, Result)) {
+	e.number++
+	e.writing[e.number] = done
+	e.out = append(e.out, Write{ID: e.number, Tx: tx})
+}
+
+func (e *Elector) inspect(server cataloger.Server, order Order, done func(timekeeper.Millis, Account, error)) {
+	e.number++
+	e.asking[e.number] = done
+	e.out = append(e.out, Inspect{ID: e.number, Server: server, Order: order})
+}
+
+// Written tells what came of a Write.
+func (e *Elector) Written(now timekeeper.Millis, id uint64, result Result) []Command {
+	done := e.writing[id]
+	delete(e.writing, id)
+	if done != nil {
+		done(now, result)
+	}
+	return e.take()
+}
+
+// Inspected tells what came of an Inspect.
+func (e *Elector) Inspected(now timekeeper.Millis, id uint64, account Account, err error) []Command {
+	done := e.asking[id]
+	delete(e.asking, id)
+	if done != nil {
+		done(now, account, err)
+	}
+	return e.take()
+}
+
+// Promoted tells what came of a Promote.
+func (e *Elector) Promoted(now timekeeper.Millis, id uint64, err error) []Command {
+	done := e.posting[id]
+	delete(e.posting, id)
+	if done != nil {
+		done(now, err)
+	}
+	return e.take()
+}
+
+// SetRows takes all rows as of a version. asked is when they were asked for.
+func (e *Elector) SetRows(now, asked timekeeper.Millis, rows []Row, version int64) []Command {
+	if version < e.version {
+		e.log("older rows passed over", observer.F("version", version), observer.F("have", e.version))
+		return nil
+	}
+	fresh := make(map[string]Row, len(rows))
+	for _, row := range rows {
+		fresh[row.Key] = row
+	}
+	e.rows = fresh
+	e.version = version
+	e.readAt = max(e.readAt, asked)
+	e.read = true
+	e.digest(now)
+	return e.take()
+}
+
+// ChangeRows takes the rows that changed up to a version.
+func (e *Elector) ChangeRows(now timekeeper.Millis, rows []Row, version int64) []Command {
+	for _, row := range rows {
+		if have := e.rows[row.Key]; row.Version <= have.Version || row.Version <= e.version && have.Version == 0 {
+			continue
+		}
+		if row.Deleted {
+			delete(e.rows, row.Key)
+			continue
+		}
+		e.rows[row.Key] = row
+	}
+	e.version = max(e.version, version)
+	e.digest(now)
+	return e.take()
+}
+
+// digest decodes the rows. A row that can't be decoded is passed over.
+func (e *Elector) digest(now timekeeper.Millis) {
+	e.hosts = map[string]Host{}
+	e.acks = map[string]map[string]Ack{}
+	e.duty = Duty{}
+	seen := map[string]bool{}
+	for _, key := range slices.Sorted(maps.Keys(e.rows)) {
+		row := e.rows[key]
+		var err error
+		switch {
+		case strings.HasPrefix(key, hostPrefix):
+			e.hosts[key[len(hostPrefix):]], err = decode[Host](row)
+		case strings.HasPrefix(key, ackPrefix):
+			err = e.digestAck(row)
+		case strings.HasPrefix(key, reignPrefix):
+			name := key[len(reignPrefix):]
+			seen[name] = true
+			err = e.group(name).setReign(now, e, row)
+		case key == dutyKey:
+			e.duty, err = decode[Duty](row)
+		}
+		if err != nil {
+			e.log("row passed over", observer.F("key", key), observer.F("error", err.Error()))
+		}
+	}
+	for name, g := range e.groups {
+		if !seen[name] {
+			g.reign, g.reignVersion = Reign{}, 0
+		}
+	}
+	e.step(now)
+}
+
+func (e *Elector) digestAck(row Row) error {
+	ack, err := decode[Ack](row)
+	if err != nil {
+		return err
+	}
+	group, host, _ := strings.Cut(row.Key[len(ackPrefix):], "/")
+	if e.acks[group] == nil {
+		e.acks[group] = map[string]Ack{}
+	}
+	e.acks[group][host] = ack
+	return nil
+}
+
+// SetBeats takes all daemons' signs of life.
+func (e *Elector) SetBeats(now timekeeper.Millis, beats map[string]Beat) {
+	for name, beat := range beats {
+		if e.beats[name].beat != beat {
+			e.beats[name] = beatSeen{beat: beat, at: now}
+		}
+	}
+	for name := range e.beats {
+		if _, present := beats[name]; !present {
+			delete(e.beats, name)
+		}
+	}
+}
+
+// live reports whether a daemon gave a sign of life of late.
+func (e *Elector) live(now timekeeper.Millis, host string) bool {
+	seen, found := e.beats[host]
+	return found && now-seen.at < e.settings.Takeover
+}
+
+// Hosts returns the number of daemons that are registered and live.
+func (e *Elector) Hosts(now timekeeper.Millis) int {
+	count := 0
+	for name := range e.hosts {
+		if name == e.settings.Self.Name || e.live(now, name) {
+			count++
+		}
+	}
+	return max(count, 1)
+}
+
+// SetServers takes the registered backend servers.
+func (e *Elector) SetServers(now timekeeper.Millis, servers []cataloger.Server) []Command {
+	e.byID = make(map[string]cataloger.Server, len(servers))
+	for _, s := range servers {
+		e.byID[s.ID] = s
+		g := e.group(s.Group)
+		if s.Primary && (g.first == "" || g.first == s.ID) {
+			g.first = s.ID
+		}
+	}
+	e.step(now)
+	return e.take()
+}
+
+func (e *Elector) group(name string) *group {
+	g := e.groups[name]
+	if g == nil {
+		g = &group{name: name}
+		e.groups[name] = g
+	}
+	return g
+}
+
+// members returns the servers of a group by id.
+func (e *Elector) members(group string) []cataloger.Server {
+	var out []cataloger.Server
+	for _, s := range e.byID {
+		if s.Group == group {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b cataloger.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// registered reports whether the rows show this run of the daemon.
+func (e *Elector) registered() bool {
+	return e.hosts[e.settings.Self.Name] == e.settings.Self
+}
+
+// Tick does what is due by now.
+func (e *Elector) Tick(now timekeeper.Millis) []Command {
+	e.step(now)
+	return e.take()
+}
+
+func (e *Elector) step(now timekeeper.Millis) {
+	if !e.read {
+		return
+	}
+	e.register(now)
+	for _, name := range slices.Sorted(maps.Keys(e.groups)) {
+		g := e.groups[name]
+		e.respond(now, g)
+		e.lead(now, g)
+	}
+}
+
+// register writes this daemon's registration until the rows show it.
+func (e *Elector) register(now timekeeper.Millis) {
+	if e.leaving || e.registering || e.registered() || now < e.registerDue {
+		return
+	}
+	e.registering = true
+	e.registerDue = now + retryInterval
+	row := encode(hostPrefix+e.settings.Self.Name, e.settings.Self)
+	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result) {
+		e.registering = false
+		e.log("registration", observer.F("result", result.String()))
+		e.out = append(e.out, Reread{})
+	})
+}
+
+// Leave withdraws the registration. The daemon must not use any primary from
+// now on.
+func (e *Elector) Leave() []Command {
+	e.leaving = true
+	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result) {})
+	return e.take()
+}
+
+// Leads returns what this daemon may believe about the primary of each group.
+func (e *Elector) Leads(now timekeeper.Millis) map[string]Lead {
+	out := make(map[string]Lead, len(e.groups))
+	for name, g := range e.groups {
+		out[name] = e.leadOf(now, g)
+	}
+	return out
+}
+
+// Lead is what a daemon may believe about a group's primary.
+type Lead struct {
+	Server  string
+	Term    int64
+	History sequencer.History
+	// Until is when the right to answer from this term ends; 0 for no right.
+	Until  timekeeper.Millis
+	Held   bool
+	Resume timekeeper.Millis
+}
+
+func (e *Elector) leadOf(now timekeeper.Millis, g *group) Lead {
+	lead := Lead{Server: g.primary(), Term: g.reign.Term, History: g.reign.History}
+	if e.read && e.registered() && !e.leaving {
+		lead.Until = e.readAt + e.settings.Lease
+	}
+	if g.reign.Change == "" || g.objected == g.reign.Number {
+		return lead
+	}
+	lead.Held = true
+	lead.Resume = max(g.announced+e.expected(g), now+resumeLeast)
+	if g.released == g.reign.Number {
+		lead.Until = 0
+	}
+	return lead
+}
+
+// expected is how long a change of a group's primary takes.
+func (e *Elector) expected(g *group) timekeeper.Millis {
+	if g.reign.Took > 0 {
+		return g.reign.Took
+	}
+	return e.settings.Change
+}
--- /dev/null
+++ b/elector/group.go
@@ -0,0 +1,103 @@
+package elector
+
+import (
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// retryInterval is the pause before a failed step is tried again.
+	retryInterval timekeeper.Millis = 300
+	// resumeLeast is the least time that a change under way still takes.
+	resumeLeast timekeeper.Millis = 100
+)
+
+// group is the state of one group's leadership here.
+type group struct {
+	name string
+	// first is the server that leads for as long as no reign is written.
+	first        string
+	reign        Reign
+	reignVersion int64
+	// announced is when this daemon saw the change under way.
+	announced timekeeper.Millis
+	// released and objected are the numbers of the changes to which this daemon
+	// said so.
+	released int64
+	objected int64
+	// answered is the number of the change that the store has this daemon's Ack
+	// of, and answering says that it is being written.
+	answered  int64
+	answering bool
+	answerDue timekeeper.Millis
+
+	change change
+	// pausedUntil is when this daemon may announce a change again.
+	pausedUntil timekeeper.Millis
+	// since is when the present reason for a change was first seen, and reason
+	// that reason.
+	since  timekeeper.Millis
+	reason Reason
+}
+
+// primary returns who leads as far as this daemon knows.
+func (g *group) primary() string {
+	if g.reign.Primary != "" {
+		return g.reign.Primary
+	}
+	return g.first
+}
+
+// setReign takes the group's row.
+func (g *group) setReign(now timekeeper.Millis, e *Elector, row Row) error {
+	if row.Version == g.reignVersion {
+		return nil
+	}
+	reign, err := decode[Reign](row)
+	if err != nil {
+		return err
+	}
+	if reign.Change != "" && (g.reign.Change == "" || g.reign.Number != reign.Number) {
+		g.announced = now
+	}
+	g.reign, g.reignVersion = reign, row.Version
+	e.log("reign", observer.F("group", g.name), observer.F("primary", reign.Primary), observer.F("term", reign.Term),
+		observer.F("change", string(reign.Change)), observer.F("number", reign.Number), observer.F("version", row.Version))
+	return nil
+}
+
+// respond answers an announced change: this daemon releases the primary, or
+// objects because it still reaches it.
+func (e *Elector) respond(now timekeeper.Millis, g *group) {
+	number := g.reign.Number
+	if g.reign.Change == "" || e.leaving {
+		return
+	}
+	signs := e.deps.Signs(g.name, g.primary())
+	if g.released != number && g.objected != number {
+		if g.reign.Change == ReasonFailure && signs.Heard > 0 && now-signs.Heard < e.settings.Alive {
+			g.objected = number
+			e.log("objects to a change: the primary answers", observer.F("group", g.name), observer.F("number", number),
+				observer.F("heard", int64(now-signs.Heard)))
+		} else if signs.Settled || g.reign.Change == ReasonFailure || now-g.announced >= e.settings.Settle {
+			g.released = number
+			e.log("releases the primary", observer.F("group", g.name), observer.F("number", number),
+				observer.F("settled", signs.Settled), observer.F("seen", signs.Seen.String()))
+			e.out = append(e.out, Expel{Group: g.name})
+		} else {
+			return
+		}
+	}
+	if g.answered == number || g.answering || now < g.answerDue {
+		return
+	}
+	g.answering = true
+	g.answerDue = now + retryInterval
+	ack := Ack{Incarnation: e.settings.Self.Incarnation, Number: number, Objects: g.objected == number, Seen: signs.Seen}
+	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result) {
+		g.answering = false
+		if result == Applied {
+			g.answered = number
+		}
+	})
+}
--- /dev/null
+++ b/elector/row.go
@@ -0,0 +1,133 @@
+// Package elector decides who leads each database group. Who leads is a row of
+// the store that changes under a condition only. A daemon may use a primary for
+// as long as its last reading of the store is fresh, so that a change of primary
+// needs each daemon's release or the end of that time. The package does no I/O.
+package elector
+
+import (
+	"encoding/json"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Row is a row of the store.
+type Row struct {
+	Key   string
+	Value []byte
+	// Version changes with each write; 0 stands for a row that does not exist.
+	Version int64
+	// Deleted says of a changed row that it is gone.
+	Deleted bool
+}
+
+// Transaction changes rows if all conditions hold.
+type Transaction struct {
+	// Expect are rows with the versions that they must have.
+	Expect []Row
+	Set    []Row
+	Delete []string
+}
+
+// Result is what came of a transaction.
+type Result int
+
+// Results of a transaction.
+const (
+	// Applied says that the transaction took effect.
+	Applied Result = iota
+	// Conflict says that a condition did not hold; nothing was done.
+	Conflict
+	// Refused says that the store did nothing.
+	Refused
+	// Unsure says that no answer came; the transaction may take effect later.
+	Unsure
+)
+
+var resultNames = [...]string{"applied", "conflict", "refused", "unsure"}
+
+// String returns the result's name.
+func (r Result) String() string {
+	return resultNames[r]
+}
+
+// Keys of rows.
+const (
+	hostPrefix  = "host/"
+	reignPrefix = "reign/"
+	ackPrefix   = "ack/"
+	dutyKey     = "duty"
+)
+
+// Host is a daemon's registration.
+type Host struct {
+	Name string `json:"name"`
+	// Incarnation tells runs of a daemon apart.
+	Incarnation int64  `json:"incarnation"`
+	Domain      string `json:"domain"`
+}
+
+// Beat is a daemon's sign of life.
+type Beat struct {
+	Incarnation int64 `json:"incarnation"`
+	Count       int64 `json:"count"`
+}
+
+// Reason is why a primary is changed.
+type Reason string
+
+// Reasons for a change of primary.
+const (
+	// ReasonHandover: the primary leaves as planned and still serves.
+	ReasonHandover Reason = "handover"
+	// ReasonFailure: the primary does not answer.
+	ReasonFailure Reason = "failure"
+)
+
+// Reign says who leads a group.
+type Reign struct {
+	Term    int64             `json:"term"`
+	Primary string            `json:"primary"`
+	History sequencer.History `json:"history,omitempty"`
+	// Number counts the changes that were announced.
+	Number int64 `json:"number"`
+	// Change is the reason of the change under way; empty for none.
+	Change Reason `json:"change,omitempty"`
+	// Took is how long the last change took.
+	Took timekeeper.Millis `json:"took,omitempty"`
+}
+
+// Ack is a daemon's answer to an announced change.
+type Ack struct {
+	Incarnation int64 `json:"incarnation"`
+	Number      int64 `json:"number"`
+	// Objects says that the daemon still reaches the primary and goes on using
+	// it; otherwise it has released it.
+	Objects bool `json:"objects,omitempty"`
+	// Seen is the highest position that the primary told the daemon of.
+	Seen sequencer.Position `json:"seen"`
+}
+
+// Duty names the daemon that leads changes of primary.
+type Duty struct {
+	Holder string `json:"holder"`
+	// Fence rises with each change of holder.
+	Fence int64 `json:"fence"`
+}
+
+func decode[T any](row Row) (T, error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, &Error{Op: "decode " + row.Key, Kind: KindInvalid, Text: err.Error()}
+	}
+	return value, nil
+}
+
+// encode marshals values of this package's types, which can't fail.
+func encode(key string, value any) Row {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return Row{Key: key, Value: data}
+}
--- /dev/null
+++ b/multiplexer/multiplexer.go
@@ -0,0 +1,255 @@
+// Package multiplexer carries callers' sessions over a few connections to
+// backend servers: it keeps sessions' state, decides which server runs each
+// statement and when, and what a caller is told. It does no I/O; its methods
+// take the time and an input and return commands.
+package multiplexer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Multiplexer is all decisions of one daemon on callers' statements. It is not
+// safe for concurrent use.
+type Multiplexer struct {
+	settings Settings
+	deps     Deps
+	out      []Command
+
+	catalog  cataloger.Catalog
+	known    bool
+	sessions map[uint64]*session
+	groups   map[string]*group
+	conns    map[pooler.Conn]*conn
+	hosts    int
+	number   pooler.Conn
+	jobs     uint64
+	draining bool
+}
+
+// New returns a multiplexer that knows no catalog yet.
+func New(settings Settings, deps Deps) *Multiplexer {
+	if deps.Log == nil {
+		deps.Log = func(Decision) {}
+	}
+	return &Multiplexer{
+		settings: settings,
+		deps:     deps,
+		sessions: map[uint64]*session{},
+		groups:   map[string]*group{},
+		conns:    map[pooler.Conn]*conn{},
+		hosts:    1,
+	}
+}
+
+func (m *Multiplexer) take() []Command {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+func (m *Multiplexer) emit(c Command) {
+	m.out = append(m.out, c)
+}
+
+func (m *Multiplexer) nextConn() pooler.Conn {
+	m.number++
+	return m.number
+}
+
+// Ready reports whether the daemon knows enough to serve callers.
+func (m *Multiplexer) Ready() bool {
+	if !m.known || m.draining {
+		return false
+	}
+	for _, g := range m.groups {
+		if len(g.servers) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Version returns the version of the catalog in force.
+func (m *Multiplexer) Version() int64 {
+	return m.catalog.Version
+}
+
+// SetCatalog puts a catalog in force, unless the present one is newer.
+func (m *Multiplexer) SetCatalog(now timekeeper.Millis, c cataloger.Catalog) []Command {
+	if m.known && c.Version <= m.catalog.Version {
+		return nil
+	}
+	m.deps.Log(Decision{Part: "catalog", Outcome: "version in force", Inputs: []observer.Field{
+		observer.F("version", c.Version), observer.F("before", m.catalog.Version), observer.F("databases", c.Len()),
+	}})
+	m.catalog = c
+	m.known = true
+	for name := range c.Groups() {
+		m.group(name)
+	}
+	m.setShares()
+	m.pumpAll(now)
+	return m.take()
+}
+
+// group returns the state of a group, which is made if needed.
+func (m *Multiplexer) group(name string) *group {
+	g := m.groups[name]
+	if g == nil {
+		g = newGroup(name, m)
+		m.groups[name] = g
+	}
+	return g
+}
+
+// SetHosts tells how many daemons share the servers' connections.
+func (m *Multiplexer) SetHosts(now timekeeper.Millis, hosts int) []Command {
+	if hosts = max(hosts, 1); hosts == m.hosts {
+		return nil
+	}
+	m.deps.Log(Decision{Part: "pool", Outcome: "share of connections changed", Inputs: []observer.Field{
+		observer.F("hosts", hosts), observer.F("before", m.hosts),
+	}})
+	m.hosts = hosts
+	m.setShares()
+	m.pumpAll(now)
+	return m.take()
+}
+
+func (m *Multiplexer) setShares() {
+	for _, g := range m.groups {
+		for _, s := range g.servers {
+			s.pool.SetShare(m.share(g))
+		}
+	}
+}
+
+// share is how many connections this daemon may have to each server of a group.
+func (m *Multiplexer) share(g *group) int {
+	described, found := m.catalog.Group(g.name)
+	if !found {
+		return 1
+	}
+	return max(1, (described.Connections-m.settings.Spare)/m.hosts)
+}
+
+// SetServers replaces the list of backend servers.
+func (m *Multiplexer) SetServers(now timekeeper.Millis, servers []cataloger.Server) []Command {
+	byGroup := map[string][]cataloger.Server{}
+	for _, s := range servers {
+		byGroup[s.Group] = append(byGroup[s.Group], s)
+	}
+	for name, list := range byGroup {
+		slices.SortFunc(list, func(a, b cataloger.Server) int { return cmp.Compare(a.ID, b.ID) })
+		m.group(name).setServers(now, list)
+	}
+	for name, g := range m.groups {
+		if byGroup[name] == nil {
+			g.setServers(now, nil)
+		}
+	}
+	m.pumpAll(now)
+	return m.take()
+}
+
+// SetLead tells who leads a group.
+func (m *Multiplexer) SetLead(now timekeeper.Millis, name string, lead Lead) []Command {
+	g := m.group(name)
+	g.setLead(now, lead)
+	g.pump(now)
+	return m.take()
+}
+
+// Signs is what this daemon's traffic tells of a server that leads a group.
+type Signs struct {
+	// Heard is when the server answered last; 0 for never.
+	Heard timekeeper.Millis
+	// Silent is since when it does not answer, though asked; 0 if it does.
+	Silent timekeeper.Millis
+	// Settled says that nothing runs on it that needs the primary.
+	Settled bool
+	// Seen is the highest position that a primary of the group told of.
+	Seen sequencer.Position
+	Term int64
+}
+
+// Signs returns what is known of a server as its group's primary.
+func (m *Multiplexer) Signs(group, id string) Signs {
+	g := m.groups[group]
+	if g == nil {
+		return Signs{Settled: true}
+	}
+	signs := Signs{Settled: g.onLead() == 0, Seen: g.highest, Term: g.lead.Term}
+	if s := g.byID[id]; s != nil {
+		signs.Heard, signs.Silent = s.heard, s.silentSince
+	}
+	return signs
+}
+
+// Tick does what is due by now. Drivers call it every 10 to 50 ms.
+func (m *Multiplexer) Tick(now timekeeper.Millis) []Command {
+	for _, name := range slices.Sorted(maps.Keys(m.groups)) {
+		m.groups[name].tick(now)
+	}
+	m.tickSessions(now)
+	return m.take()
+}
+
+func (m *Multiplexer) pumpAll(now timekeeper.Millis) {
+	for _, name := range slices.Sorted(maps.Keys(m.groups)) {
+		m.groups[name].pump(now)
+	}
+}
+
+// Drain makes the daemon take no new sessions.
+func (m *Multiplexer) Drain() {
+	m.draining = true
+}
+
+// Busy returns the number of sessions with an open statement or transaction.
+func (m *Multiplexer) Busy() int {
+	busy := 0
+	for _, s := range m.sessions {
+		if !s.idle() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// Sessions returns the number of open sessions.
+func (m *Multiplexer) Sessions() int {
+	return len(m.sessions)
+}
+
+// Waiting returns the number of statements in progress.
+func (m *Multiplexer) Waiting() int {
+	total := 0
+	for _, g := range m.groups {
+		total += g.queue.Total() + len(g.running)
+	}
+	return total
+}
+
+// HangUpIdle ends idle sessions, at most limit of them.
+func (m *Multiplexer) HangUpIdle(limit int) []Command {
+	for _, id := range slices.Sorted(maps.Keys(m.sessions)) {
+		if limit == 0 {
+			break
+		}
+		if s := m.sessions[id]; s.idle() && !s.leaving {
+			s.leaving = true
+			limit--
+			m.emit(Hangup{Session: id})
+		}
+	}
+	return m.take()
+}
--- /dev/null
+++ b/multiplexer/server.go
@@ -0,0 +1,159 @@
+package multiplexer
+
+import (
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/router"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// serviceGuess is the expected time of a statement in milliseconds before
+	// any was measured.
+	serviceGuess = 10.0
+	// smoothing is the weight of a new measurement in moving averages.
+	smoothing = 0.1
+	// lagGuess is a replica's expected lag before any was measured.
+	lagGuess timekeeper.Millis = 30
+	// lagLimit bounds the lag that is expected of a replica.
+	lagLimit timekeeper.Millis = 10_000
+	// nearDistance and farDistance are network times there and back in
+	// milliseconds, inside a failure domain and to another one.
+	nearDistance, farDistance = 0.4, 1.2
+	// overdueFactor is how many times the expected time of a statement must pass
+	// in silence before a read is sent to another server.
+	overdueFactor = 6
+	// fullPause is how long a server whose queue is full gets no more reads.
+	fullPause timekeeper.Millis = 25
+)
+
+// conn is a connection to a backend server.
+type conn struct {
+	id     pooler.Conn
+	server *server
+	// values and prepared are what the connection has been told.
+	values   map[string]string
+	prepared map[string]bool
+	// opening says that the server has not accepted the connection yet.
+	opening bool
+	// job is the statement in progress, and cleaning says that a rollback is.
+	job      *job
+	cleaning bool
+	// holder is the session whose transaction is open on the connection.
+	holder *session
+	sent   timekeeper.Millis
+}
+
+// server is a backend server as this daemon sees it.
+type server struct {
+	cataloger.Server
+	pool *pooler.Pool
+	// gone says that the server is no longer registered.
+	gone bool
+	// leavingSince is when the server was first seen leaving; 0 if it is not.
+	leavingSince timekeeper.Millis
+	running      int
+	conns        map[pooler.Conn]*conn
+	service      float64
+	applied      sequencer.Position
+	lag          timekeeper.Millis
+	// heard is when the server last answered anything.
+	heard timekeeper.Millis
+	// silentUntil is until when a server that does not answer is left out.
+	silentUntil timekeeper.Millis
+	silent      bool
+	silentSince timekeeper.Millis
+	fullUntil   timekeeper.Millis
+}
+
+// waiting returns since when an answer has been outstanding on a server that
+// has told nothing since; 0 if none is.
+func (s *server) waiting() timekeeper.Millis {
+	var oldest timekeeper.Millis
+	for _, c := range s.conns {
+		if c.job == nil && !c.cleaning {
+			continue
+		}
+		if c.sent > s.heard && (oldest == 0 || c.sent < oldest) {
+			oldest = c.sent
+		}
+	}
+	return oldest
+}
+
+// usable reports whether new work may go to the server.
+func (s *server) usable(now timekeeper.Millis, forget timekeeper.Millis) bool {
+	if s.gone || s.silent {
+		return false
+	}
+	return s.leavingSince == 0 || now < s.leavingSince+forget
+}
+
+// free returns how many more statements the server takes from this daemon.
+func (s *server) free(share int) int {
+	return share - s.running
+}
+
+func (s *server) candidate(now timekeeper.Millis, g *group, lead bool) router.Candidate {
+	settings := g.mux.settings
+	distance := farDistance
+	if s.Domain == settings.Domain {
+		distance = nearDistance
+	}
+	usable := s.usable(now, settings.Forget)
+	if !lead {
+		usable = usable && s.leavingSince == 0 && now >= s.fullUntil
+	}
+	return router.Candidate{
+		Name:     s.ID,
+		Primary:  lead,
+		Usable:   usable,
+		Free:     s.free(g.mux.share(g)),
+		Running:  s.running,
+		Service:  s.service,
+		Distance: distance,
+		Applied:  s.expected(now, g),
+		Lag:      float64(s.lag),
+	}
+}
+
+// expected is the position that the server has applied by now, as far as its
+// lag and the primary's positions tell.
+func (s *server) expected(now timekeeper.Millis, g *group) sequencer.Position {
+	if g.isLead(s) {
+		return g.samples.Newest().Position
+	}
+	guess := g.samples.At(now - s.lag)
+	if guess.Term != s.applied.Term || guess.Offset < s.applied.Offset {
+		return s.applied
+	}
+	return guess
+}
+
+// learn takes the position that a replica told of in an answer.
+func (s *server) learn(now timekeeper.Millis, g *group, position sequencer.Position) {
+	if position.IsZero() {
+		return
+	}
+	s.applied = position
+	if g.isLead(s) {
+		return
+	}
+	next := sequencer.Position{Term: position.Term, Offset: position.Offset + 1}
+	passed, found := g.samples.Reached(next)
+	if !found {
+		s.lag = max(s.lag*9/10, 1)
+		return
+	}
+	measured := min(now-passed, lagLimit)
+	if measured > s.lag {
+		s.lag = measured
+	} else {
+		s.lag += (measured - s.lag) / 8
+	}
+}
+
+func (s *server) measure(took timekeeper.Millis) {
+	s.service += smoothing * (float64(took) - s.service)
+}
--- /dev/null
+++ b/multiplexer/session.go
@@ -0,0 +1,319 @@
+package multiplexer
+
+import (
+	"maps"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// prepared is a caller's prepared statement.
+type prepared struct {
+	writes bool
+	shape  string
+}
+
+// serverName is the name that the statement has on every server connection. It
+// depends on the content alone, so that sessions share prepared statements.
+func (p prepared) serverName() string {
+	kind := "r"
+	if p.writes {
+		kind = "w"
+	}
+	return kind + strconv.FormatUint(xxhash.Sum64String(p.shape), 36)
+}
+
+// transaction is a caller's open transaction.
+type transaction struct {
+	readOnly bool
+	database cataloger.Database
+	// conn is the server connection that the transaction is pinned to; nil until
+	// its first statement.
+	conn *conn
+	// begun says that the server has opened the transaction.
+	begun  bool
+	active timekeeper.Millis
+	// ended says that it was rolled back before the caller ended it.
+	ended bool
+}
+
+// session is a caller's connection.
+type session struct {
+	id       uint64
+	database string
+	account  string
+	values   map[string]string
+	prepared map[string]prepared
+	floor    sequencer.Position
+	tx       *transaction
+	job      *job
+	// backlog are statements that came while one was in progress.
+	backlog []Statement
+	closed  bool
+	leaving bool
+}
+
+func (s *session) idle() bool {
+	return s.job == nil && s.tx == nil && len(s.backlog) == 0
+}
+
+func (s *session) state() State {
+	switch {
+	case s.tx == nil:
+		return StateIdle
+	case s.tx.ended:
+		return StateFailed
+	}
+	return StateTransaction
+}
+
+// Connect opens a session of a client account on a database. The answer tells
+// whether it is open.
+func (m *Multiplexer) Connect(id uint64, database, account string) Answer {
+	if !m.known {
+		return Answer{Code: CodeNotRun, Text: "the catalog is not known yet", RetryAfter: 500}
+	}
+	if _, found := m.catalog.Database(database); !found {
+		m.deps.Log(Decision{Part: "session", Outcome: "refused: unknown database", Inputs: []observer.Field{
+			observer.F("database", database), observer.F("catalog", m.catalog.Version),
+		}})
+		return Answer{Code: CodeNoDatabase, Text: database}
+	}
+	m.sessions[id] = &session{
+		id: id, database: database, account: account,
+		values: map[string]string{}, prepared: map[string]prepared{},
+	}
+	return Answer{}
+}
+
+// Disconnect ends a session. An open transaction is rolled back.
+func (m *Multiplexer) Disconnect(now timekeeper.Millis, id uint64) []Command {
+	s := m.sessions[id]
+	if s == nil {
+		return nil
+	}
+	delete(m.sessions, id)
+	s.closed = true
+	s.backlog = nil
+	if s.job != nil && s.job.conn == nil {
+		s.job.group.drop(s.job)
+	}
+	if s.job == nil && s.tx != nil && s.tx.conn != nil {
+		m.rollback(now, s.tx.conn)
+		s.tx.conn = nil
+	}
+	return m.take()
+}
+
+// Run takes a caller's statement. A Reply command answers it.
+func (m *Multiplexer) Run(now timekeeper.Millis, id uint64, st Statement) []Command {
+	s := m.sessions[id]
+	if s == nil {
+		return nil
+	}
+	if s.job != nil {
+		s.backlog = append(s.backlog, st)
+		return nil
+	}
+	m.run(now, s, st)
+	return m.take()
+}
+
+func (m *Multiplexer) run(now timekeeper.Millis, s *session, st Statement) {
+	if s.tx != nil {
+		s.tx.active = now
+		if s.tx.ended && st.Kind != KindRollback && st.Kind != KindCommit {
+			m.answer(s, Answer{Code: CodeMalformed, Text: "the transaction was rolled back"})
+			return
+		}
+	}
+	switch st.Kind {
+	case KindSet:
+		s.values = maps.Clone(s.values)
+		s.values[st.Name] = st.Args
+		m.answer(s, Answer{})
+	case KindPrepare:
+		s.prepared[st.Name] = prepared{writes: st.Writes, shape: st.Args}
+		m.answer(s, Answer{})
+	case KindDeallocate:
+		delete(s.prepared, st.Name)
+		m.answer(s, Answer{})
+	case KindBegin, KindBeginRead:
+		m.begin(now, s, st)
+	case KindRollback:
+		m.rollbackSession(now, s)
+	case KindRead, KindWrite, KindExecute, KindCommit:
+		m.execute(now, s, st)
+	default:
+		m.answer(s, Answer{Code: CodeMalformed, Text: "not a caller's statement"})
+	}
+}
+
+// answer replies to the caller with the session's state.
+func (m *Multiplexer) answer(s *session, a Answer) {
+	a.State = s.state()
+	if !s.closed {
+		m.emit(Reply{Session: s.id, Answer: a})
+	}
+}
+
+// begin opens a transaction. No server is asked before its first statement.
+func (m *Multiplexer) begin(now timekeeper.Millis, s *session, st Statement) {
+	if s.tx != nil {
+		m.answer(s, Answer{Code: CodeMalformed, Text: "a transaction is open"})
+		return
+	}
+	database, found := m.catalog.Database(s.database)
+	if !found {
+		m.answer(s, Answer{Code: CodeNoDatabase, Text: s.database})
+		return
+	}
+	s.tx = &transaction{readOnly: st.Kind == KindBeginRead, database: database, active: now}
+	m.answer(s, Answer{})
+}
+
+func (m *Multiplexer) rollbackSession(now timekeeper.Millis, s *session) {
+	if s.tx == nil {
+		m.answer(s, Answer{Code: CodeMalformed, Text: "no transaction is open"})
+		return
+	}
+	if s.tx.conn != nil {
+		m.rollback(now, s.tx.conn)
+	}
+	s.tx = nil
+	m.answer(s, Answer{})
+}
+
+// execute makes a job of a statement that a server must run.
+func (m *Multiplexer) execute(now timekeeper.Millis, s *session, st Statement) {
+	if st.Kind == KindCommit && s.tx == nil {
+		m.answer(s, Answer{Code: CodeMalformed, Text: "no transaction is open"})
+		return
+	}
+	if s.tx != nil && s.tx.ended {
+		s.tx = nil
+		m.answer(s, Answer{Code: CodeAborted, Text: "the transaction was rolled back"})
+		return
+	}
+	writes := st.Kind == KindWrite
+	if st.Kind == KindExecute {
+		p, found := s.prepared[st.Name]
+		if !found {
+			m.abort(now, s)
+			m.answer(s, Answer{Code: CodeUndefined, Text: st.Name})
+			return
+		}
+		writes = p.writes
+	}
+	database, found := m.catalog.Database(s.database)
+	if s.tx != nil {
+		database, found = s.tx.database, true
+	}
+	if !found {
+		m.answer(s, Answer{Code: CodeNoDatabase, Text: s.database})
+		return
+	}
+	m.jobs++
+	j := &job{
+		id: strconv.FormatUint(m.jobs, 36), session: s, statement: st, writes: writes, database: database,
+		group: m.group(database.Group), arrived: now, due: now + database.Timeout,
+	}
+	if s.tx != nil && s.tx.conn != nil {
+		s.job = j
+		j.group.runPinned(now, j)
+		return
+	}
+	s.job = j
+	j.group.submit(now, j)
+}
+
+// abort ends an open transaction at the server; the caller has yet to end it.
+func (m *Multiplexer) abort(now timekeeper.Millis, s *session) {
+	if s.tx == nil {
+		return
+	}
+	if s.tx.conn != nil {
+		m.rollback(now, s.tx.conn)
+		s.tx.conn = nil
+	}
+	s.tx.ended = true
+}
+
+// finish replies to a job's caller and goes on with its next statement.
+func (m *Multiplexer) finish(now timekeeper.Millis, j *job, a Answer) {
+	s := j.session
+	if s.job != j {
+		return
+	}
+	s.job = nil
+	if s.tx != nil {
+		s.tx.active = now
+	}
+	m.logOutcome(now, j, a)
+	m.answer(s, a)
+	if s.closed {
+		m.abort(now, s)
+		return
+	}
+	if len(s.backlog) > 0 {
+		next := s.backlog[0]
+		s.backlog = s.backlog[1:]
+		m.run(now, s, next)
+	}
+}
+
+func (m *Multiplexer) logOutcome(now timekeeper.Millis, j *job, a Answer) {
+	if m.deps.Count != nil {
+		m.deps.Count(a.Code, j.database.Rank, now-j.arrived)
+	}
+	server := ""
+	if j.server != nil {
+		server = j.server.ID
+	}
+	m.deps.Log(Decision{Part: "request", Request: j.statement.ID, Outcome: a.Code.String(), Inputs: []observer.Field{
+		observer.F("database", j.database.Name), observer.F("server", server), observer.F("rank", int(j.database.Rank)),
+		observer.F("attempts", j.attempts), observer.F("took", int64(now-j.arrived)), observer.F("queued", int64(j.queued(now))),
+		observer.F("floor", j.floor.String()), observer.F("position", a.Position.String()),
+		observer.F("term", j.group.lead.Term), observer.F("retry", int64(a.RetryAfter)), observer.F("text", a.Text),
+	}})
+}
+
+// tickSessions rolls back transactions that have been idle for too long.
+func (m *Multiplexer) tickSessions(now timekeeper.Millis) {
+	limit := m.catalog.IdleLimit
+	if limit <= 0 {
+		return
+	}
+	for _, c := range m.conns {
+		s := c.holder
+		if s == nil || s.tx == nil || s.tx.conn != c || s.job != nil || now-s.tx.active <= limit {
+			continue
+		}
+		m.deps.Log(Decision{Part: "session", Outcome: "idle transaction rolled back", Inputs: []observer.Field{
+			observer.F("database", s.database), observer.F("server", c.server.ID), observer.F("idle", int64(now-s.tx.active)),
+		}})
+		m.abort(now, s)
+	}
+}
+
+// rankOf bounds a database's rank to those that the queue knows.
+func rankOf(d cataloger.Database) scheduler.Rank {
+	return min(max(d.Rank, 0), scheduler.Ranks-1)
+}
+
+// Reject answers a message that is not a statement. It ends an open transaction.
+func (m *Multiplexer) Reject(now timekeeper.Millis, id uint64, text string) []Command {
+	s := m.sessions[id]
+	if s == nil {
+		return nil
+	}
+	m.abort(now, s)
+	m.answer(s, Answer{Code: CodeMalformed, Text: text})
+	return m.take()
+}
--- /dev/null
+++ b/multiplexer/settings.go
@@ -0,0 +1,54 @@
+package multiplexer
+
+import (
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Settings steer a multiplexer.
+type Settings struct {
+	// Domain is the daemon's failure domain; its servers are nearer.
+	Domain  string
+	Classes scheduler.Classes
+	// Queue is the greatest number of waiting statements of one group.
+	Queue int
+	// Spare is how many of a server's connections are left to control traffic.
+	Spare int
+	// Overdue is how long a read may run in silence before it is sent to another
+	// server.
+	Overdue timekeeper.Millis
+	// Probe is how long a server that was found silent is left out between two
+	// attempts to connect to it.
+	Probe timekeeper.Millis
+	// Forget is how long a leaving server may still get new work that no other
+	// server can take.
+	Forget timekeeper.Millis
+	// Margin is taken off the age that reads may have, for clocks and scheduling.
+	Margin timekeeper.Millis
+}
+
+// DefaultSettings returns settings for a failure domain.
+func DefaultSettings(domain string) Settings {
+	return Settings{
+		Domain:  domain,
+		Classes: scheduler.DefaultClasses(),
+		Queue:   4096,
+		Spare:   2,
+		Overdue: 250,
+		Probe:   300,
+		Forget:  5000,
+		Margin:  50,
+	}
+}
+
+// Decision is a structured log line on a request or a belief.
+type Decision = observer.Decision
+
+// Deps are what a multiplexer needs of its daemon. All fields are seams.
+type Deps struct {
+	// Log writes a decision's line; nil writes none.
+	Log func(Decision)
+	// Count adds an outcome to the metrics; nil counts nothing.
+	Count func(code Code, rank scheduler.Rank, took timekeeper.Millis)
+}
--- a/observer/logger.go
+++ b/observer/logger.go
@@ -38,3 +38,31 @@
 func (l *Logger) Errorf(format string, args ...any) {
 	l.logger.Error().Msgf(format, args...)
 }
+
+// Decide writes the line of a decision.
+func (l *Logger) Decide(d Decision) {
+	entry := l.logger.Info()
+	if entry == nil {
+		return
+	}
+	entry = entry.Str("part", d.Part)
+	if d.Request != "" {
+		entry = entry.Str("request", d.Request)
+	}
+	entry = entry.Str("outcome", d.Outcome)
+	for _, field := range d.Inputs {
+		switch value := field.Value.(type) {
+		case string:
+			entry = entry.Str(field.Name, value)
+		case int:
+			entry = entry.Int(field.Name, value)
+		case int64:
+			entry = entry.Int64(field.Name, value)
+		case bool:
+			entry = entry.Bool(field.Name, value)
+		default:
+			entry = entry.Any(field.Name, value)
+		}
+	}
+	entry.Msg("")
+}
--- /dev/null
+++ b/proxier/proxy.go
@@ -0,0 +1,251 @@
+// Package proxier is a daemon: it carries out the decisions of the multiplexer
+// and the elector over the seams that it is given, and feeds the answers back.
+package proxier
+
+import (
+	"context"
+	"sync"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Settings steer a daemon.
+type Settings struct {
+	Host elector.Host
+	// Silence is how long an entry of a server may be missing after the store was
+	// away before the server counts as gone.
+	Silence timekeeper.Millis
+	// Grace is how long a shutdown may take.
+	Grace timekeeper.Millis
+	// Intervals are the pauses of the daemon's loops.
+	Intervals Intervals
+}
+
+// Intervals are times between two readings of the store.
+type Intervals struct {
+	Catalog timekeeper.Millis
+	Servers timekeeper.Millis
+	Rows    timekeeper.Millis
+	// Feed is how long the store may hold a question for changes.
+	Feed timekeeper.Millis
+	// Call limits any other call.
+	Call timekeeper.Millis
+	// Retry is the pause after a call that failed.
+	Retry timekeeper.Millis
+}
+
+// DefaultIntervals returns the times that settings start from.
+func DefaultIntervals() Intervals {
+	return Intervals{Catalog: 2000, Servers: 1000, Rows: 2000, Feed: 6000, Call: 700, Retry: 150}
+}
+
+// DefaultSettings returns the settings of a daemon on a host.
+func DefaultSettings(host elector.Host) Settings {
+	return Settings{Host: host, Silence: 2500, Grace: 6000, Intervals: DefaultIntervals()}
+}
+
+// Proxy is one daemon.
+type Proxy struct {
+	settings Settings
+	seams    Seams
+	clock    timekeeper.Clock
+	log      *observer.Logger
+	metrics  *Metrics
+	ctx      context.Context
+	wait     sync.WaitGroup
+	reread   chan struct{}
+
+	mu       sync.Mutex
+	mux      *multiplexer.Multiplexer
+	elector  *elector.Elector
+	links    map[pooler.Conn]*worker
+	sessions map[uint64]*Session
+	number   uint64
+	registry registry
+	// depends holds whether each outside dependency answered last.
+	depends map[string]bool
+}
+
+// worker is the goroutine of one connection to a backend server.
+type worker struct {
+	batches chan []multiplexer.Statement
+	cancel  context.CancelFunc
+}
+
+// New returns a daemon that does nothing yet.
+func New(settings Settings, seams Seams, clock timekeeper.Clock, log *observer.Logger, metrics *Metrics) *Proxy {
+	p := &Proxy{
+		settings: settings, seams: seams, clock: clock, log: log, metrics: metrics,
+		links: map[pooler.Conn]*worker{}, sessions: map[uint64]*Session{}, depends: map[string]bool{},
+		reread: make(chan struct{}, 1), ctx: context.Background(),
+	}
+	p.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), multiplexer.Deps{Log: log.Decide, Count: metrics.Count})
+	p.elector = elector.New(elector.DefaultSettings(settings.Host), elector.Deps{Log: log.Decide, Signs: p.signs})
+	return p
+}
+
+// signs tells the elector what the daemon's own traffic says of a primary.
+func (p *Proxy) signs(group, server string) elector.Signs {
+	signs := p.mux.Signs(group, server)
+	return elector.Signs{Heard: signs.Heard, Silent: signs.Silent, Settled: signs.Settled, Seen: signs.Seen, Term: signs.Term}
+}
+
+// Ready reports whether the daemon should get callers.
+func (p *Proxy) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mux.Ready()
+}
+
+// decide runs one decision of the multiplexer and carries it out.
+func (p *Proxy) decide(f func(now timekeeper.Millis) []multiplexer.Command) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carry(f(p.clock.Now()))
+}
+
+// carry carries commands of the multiplexer out. None of them blocks.
+func (p *Proxy) carry(commands []multiplexer.Command) {
+	for _, command := range commands {
+		switch c := command.(type) {
+		case multiplexer.Reply:
+			if s := p.sessions[c.Session]; s != nil {
+				s.answers <- c.Answer
+			}
+		case multiplexer.Hangup:
+			if s := p.sessions[c.Session]; s != nil {
+				s.hangUp()
+			}
+		case multiplexer.Open:
+			p.open(c.Conn, c.Server)
+		case multiplexer.Send:
+			if w := p.links[c.Conn]; w != nil {
+				w.batches <- c.Statements
+			}
+		case multiplexer.Close:
+			if w := p.links[c.Conn]; w != nil {
+				delete(p.links, c.Conn)
+				w.cancel()
+			}
+		}
+	}
+}
+
+// elect runs one decision of the elector and carries it out, with what follows
+// from it for the multiplexer.
+func (p *Proxy) elect(f func(now timekeeper.Millis) []elector.Command) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carryElection(f(p.clock.Now()))
+	p.lead()
+}
+
+// lead passes the elector's beliefs on to the multiplexer.
+func (p *Proxy) lead() {
+	now := p.clock.Now()
+	for name, lead := range p.elector.Leads(now) {
+		p.carry(p.mux.SetLead(now, name, multiplexer.Lead{
+			Server: lead.Server, Term: lead.Term, History: lead.History, Until: lead.Until, Held: lead.Held, Resume: lead.Resume,
+		}))
+	}
+	p.carry(p.mux.SetHosts(now, p.elector.Hosts(now)))
+}
+
+func (p *Proxy) carryElection(commands []elector.Command) {
+	for _, command := range commands {
+		switch c := command.(type) {
+		case elector.Write:
+			p.spawn(func(ctx context.Context) {
+				call, cancel := p.call(ctx)
+				result := p.seams.Transact(call, TableOwn, c.Tx)
+				cancel()
+				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Written(now, c.ID, result) })
+			})
+		case elector.Inspect:
+			p.spawn(func(ctx context.Context) {
+				call, cancel := p.call(ctx)
+				account, err := p.seams.Inspect(call, c.Server, c.Order)
+				cancel()
+				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Inspected(now, c.ID, account, err) })
+			})
+		case elector.Promote:
+			p.spawn(func(ctx context.Context) {
+				call, cancel := p.call(ctx)
+				err := p.seams.Promote(call, c.Promotion)
+				cancel()
+				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Promoted(now, c.ID, err) })
+			})
+		case elector.Reread:
+			select {
+			case p.reread <- struct{}{}:
+			default: // a reading is due already
+			}
+		case elector.Expel:
+			p.carry(p.mux.Expel(p.clock.Now(), c.Group))
+		}
+	}
+}
+
+func (p *Proxy) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, p.settings.Intervals.Call.Duration())
+}
+
+// spawn runs a goroutine that ends with the daemon's context; Run waits for it.
+func (p *Proxy) spawn(f func(ctx context.Context)) {
+	p.wait.Add(1)
+	go func() {
+		defer p.wait.Done()
+		f(p.ctx)
+	}()
+}
+
+// open starts the goroutine of a new connection.
+func (p *Proxy) open(id pooler.Conn, server cataloger.Server) {
+	ctx, cancel := context.WithCancel(p.ctx)
+	w := &worker{batches: make(chan []multiplexer.Statement, 2), cancel: cancel}
+	p.links[id] = w
+	p.spawn(func(context.Context) {
+		defer cancel()
+		p.work(ctx, id, server, w)
+	})
+}
+
+// work opens a connection and runs what is sent on it until it ends.
+func (p *Proxy) work(ctx context.Context, id pooler.Conn, server cataloger.Server, w *worker) {
+	dial, cancel := p.call(ctx)
+	link, answer, err := p.seams.Connect(dial, server)
+	cancel()
+	if err != nil {
+		p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Lost(now, id) })
+		return
+	}
+	if answer.Code != multiplexer.CodeOK {
+		p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Refused(now, id, answer) })
+		return
+	}
+	stop := context.AfterFunc(ctx, link.Close)
+	defer func() {
+		if stop() {
+			link.Close()
+		}
+	}()
+	p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Opened(now, id, answer) })
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case batch := <-w.batches:
+			answers, err := link.Run(batch)
+			if err != nil {
+				p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Lost(now, id) })
+				return
+			}
+			p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Answered(now, id, answers) })
+		}
+	}
+}
--- /dev/null
+++ b/proxier/run.go
@@ -0,0 +1,317 @@
+package proxier
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// busyTick and idleTick are the times between two ticks of the decisions,
+	// while statements are in progress and while none is.
+	busyTick = 10 * time.Millisecond
+	idleTick = 50 * time.Millisecond
+	// feedSlack is how much longer than asked for an answer to a question for
+	// changes may take.
+	feedSlack timekeeper.Millis = 700
+	// storeGap is how long no reading makes the store count as away.
+	storeGap timekeeper.Millis = 2500
+)
+
+// Run runs the daemon until ctx ends and its goroutines have ended.
+func (p *Proxy) Run(ctx context.Context) {
+	p.ctx = ctx
+	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "start", Inputs: []observer.Field{
+		observer.F("host", p.settings.Host.Name), observer.F("domain", p.settings.Host.Domain), observer.F("incarnation", p.settings.Host.Incarnation),
+	}})
+	p.spawn(p.scanCatalog)
+	p.spawn(p.feedCatalog)
+	p.spawn(p.scanServers)
+	p.spawn(p.scanRows)
+	p.spawn(p.feedRows)
+	p.spawn(p.beat)
+	p.spawn(p.tick)
+	<-ctx.Done()
+	p.wait.Wait()
+	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "stop"})
+}
+
+func (p *Proxy) tick(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		now := p.clock.Now()
+		p.carry(p.mux.Tick(now))
+		p.carryElection(p.elector.Tick(now))
+		p.lead()
+		pause := idleTick
+		if p.mux.Waiting() > 0 {
+			pause = busyTick
+		}
+		p.mu.Unlock()
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// dependency logs when a dependency is lost or regained.
+func (p *Proxy) dependency(name string, err error) {
+	p.mu.Lock()
+	before, known := p.depends[name]
+	p.depends[name] = err == nil
+	p.mu.Unlock()
+	switch {
+	case err != nil && (before || !known):
+		p.log.Decide(observer.Decision{Part: "dependency", Outcome: "lost", Inputs: []observer.Field{
+			observer.F("name", name), observer.F("error", err.Error()),
+		}})
+	case err == nil && !before:
+		p.log.Decide(observer.Decision{Part: "dependency", Outcome: "in touch", Inputs: []observer.Field{observer.F("name", name)}})
+	}
+}
+
+// scan reads a table whole within the time limit of a call.
+func (p *Proxy) scan(ctx context.Context, table Table, name string) (Rows, timekeeper.Millis, error) {
+	call, cancel := p.call(ctx)
+	defer cancel()
+	asked := p.clock.Now()
+	rows, err := p.seams.Scan(call, table)
+	p.dependency(name, err)
+	return rows, asked, err
+}
+
+// every calls f at an interval, sooner after a failure, until ctx ends.
+func (p *Proxy) every(ctx context.Context, interval timekeeper.Millis, f func() error) {
+	for {
+		pause := interval
+		if f() != nil {
+			pause = p.settings.Intervals.Retry
+		}
+		if !sleep(ctx, pause.Duration()) {
+			return
+		}
+	}
+}
+
+func (p *Proxy) setCatalog(rows []elector.Row) {
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		catalog, err := p.seams.Catalog(row)
+		if err != nil {
+			p.log.Decide(observer.Decision{Part: "catalog", Outcome: "row passed over", Inputs: []observer.Field{
+				observer.F("key", row.Key), observer.F("error", err.Error()),
+			}})
+			continue
+		}
+		if catalog.Version > 0 {
+			p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.SetCatalog(now, catalog) })
+		}
+	}
+}
+
+func (p *Proxy) scanCatalog(ctx context.Context) {
+	var version int64
+	p.every(ctx, p.settings.Intervals.Catalog, func() error {
+		rows, _, err := p.scan(ctx, TableCatalog, "store: catalog")
+		if err != nil {
+			return err
+		}
+		var changed []elector.Row
+		for _, row := range rows.Rows {
+			if row.Version > version {
+				changed = append(changed, row)
+				version = row.Version
+			}
+		}
+		p.setCatalog(changed)
+		return nil
+	})
+}
+
+// feed follows a table's changes after a first reading. Where changes are no
+// longer known it reads the table again.
+func (p *Proxy) feed(ctx context.Context, table Table, name string, whole func(Rows, timekeeper.Millis), changed func(Rows)) {
+	version := int64(0)
+	p.every(ctx, 0, func() error {
+		if version == 0 {
+			rows, asked, err := p.scan(ctx, table, name)
+			if err != nil {
+				return err
+			}
+			whole(rows, asked)
+			version = rows.Version
+			return nil
+		}
+		call, cancel := context.WithTimeout(ctx, (p.settings.Intervals.Feed + feedSlack).Duration())
+		defer cancel()
+		rows, err := p.seams.Feed(call, table, version, p.settings.Intervals.Feed)
+		p.dependency(name+" feed", err)
+		if err != nil {
+			version = 0
+			return err
+		}
+		if len(rows.Rows) > 0 {
+			changed(rows)
+		}
+		version = max(version, rows.Version)
+		return nil
+	})
+}
+
+func (p *Proxy) feedCatalog(ctx context.Context) {
+	p.feed(ctx, TableCatalog, "store: catalog", func(rows Rows, _ timekeeper.Millis) { p.setCatalog(rows.Rows) }, func(rows Rows) { p.setCatalog(rows.Rows) })
+}
+
+func (p *Proxy) feedRows(ctx context.Context) {
+	p.feed(ctx, TableOwn, "store: rows", p.setRows, func(rows Rows) {
+		p.elect(func(now timekeeper.Millis) []elector.Command {
+			return p.elector.ChangeRows(now, rows.Rows, rows.Version)
+		})
+	})
+}
+
+func (p *Proxy) setRows(rows Rows, asked timekeeper.Millis) {
+	p.elect(func(now timekeeper.Millis) []elector.Command {
+		return p.elector.SetRows(now, asked, rows.Rows, rows.Version)
+	})
+}
+
+// scanRows reads the rows on who leads, and at once when asked to.
+func (p *Proxy) scanRows(ctx context.Context) {
+	for {
+		pause := p.settings.Intervals.Rows
+		rows, asked, err := p.scan(ctx, TableOwn, "store: rows")
+		if err == nil {
+			p.setRows(rows, asked)
+		} else {
+			pause = p.settings.Intervals.Retry
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.reread:
+		case <-time.After(pause.Duration()):
+		}
+	}
+}
+
+func (p *Proxy) scanServers(ctx context.Context) {
+	bad := map[string]int64{}
+	p.every(ctx, p.settings.Intervals.Servers, func() error {
+		rows, _, err := p.scan(ctx, TableServers, "store: servers")
+		if err != nil {
+			return err
+		}
+		servers := make([]cataloger.Server, 0, len(rows.Rows))
+		for _, row := range rows.Rows {
+			server, err := p.seams.Server(row)
+			if err != nil {
+				if bad[row.Key] != row.Version {
+					bad[row.Key] = row.Version
+					p.log.Decide(observer.Decision{Part: "servers", Outcome: "registration passed over", Inputs: []observer.Field{
+						observer.F("key", row.Key), observer.F("error", err.Error()),
+					}})
+				}
+				continue
+			}
+			servers = append(servers, server)
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := p.clock.Now()
+		servers = p.registry.merge(now, servers, storeGap, p.settings.Silence)
+		p.carry(p.mux.SetServers(now, servers))
+		p.carryElection(p.elector.SetServers(now, servers))
+		p.lead()
+		return nil
+	})
+}
+
+// beat writes this daemon's signs of life and reads those of the others.
+func (p *Proxy) beat(ctx context.Context) {
+	count := int64(0)
+	beat := elector.DefaultSettings(p.settings.Host).Beat
+	p.every(ctx, beat, func() error {
+		count++
+		value, err := json.Marshal(elector.Beat{Incarnation: p.settings.Host.Incarnation, Count: count})
+		if err != nil {
+			return err
+		}
+		call, cancel := p.call(ctx)
+		p.seams.Transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
+		cancel()
+		rows, _, err := p.scan(ctx, TableBeats, "store: beats")
+		if err != nil {
+			return err
+		}
+		beats := map[string]elector.Beat{}
+		for _, row := range rows.Rows {
+			var b elector.Beat
+			if json.Unmarshal(row.Value, &b) == nil { // a row of another writer names no daemon
+				beats[row.Key] = b
+			}
+		}
+		p.elect(func(now timekeeper.Millis) []elector.Command {
+			p.elector.SetBeats(now, beats)
+			return nil
+		})
+		return nil
+	})
+}
+
+// Shutdown stops the daemon gracefully: it counts as not ready, finishes what is
+// in progress, ends idle sessions once the balancer has noticed, and returns.
+// Statements are accepted until then.
+func (p *Proxy) Shutdown() {
+	begun := p.clock.Now()
+	p.mu.Lock()
+	p.mux.Drain()
+	sessions := p.mux.Sessions()
+	p.mu.Unlock()
+	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "shuts down", Inputs: []observer.Field{observer.F("sessions", sessions)}})
+	for {
+		time.Sleep(idleTick)
+		passed := p.clock.Now() - begun
+		p.mu.Lock()
+		if passed > noticeTime {
+			p.carry(p.mux.HangUpIdle(1 + p.mux.Sessions()/4))
+		}
+		left, busy := p.mux.Sessions(), p.mux.Busy()
+		p.mu.Unlock()
+		if left == 0 && passed > leastShutdown || passed > p.settings.Grace-shutdownReserve || busy == 0 && passed > p.settings.Grace/2+leastShutdown {
+			break
+		}
+	}
+	p.mu.Lock()
+	p.carryElection(p.elector.Leave())
+	p.lead()
+	p.mu.Unlock()
+	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "has shut down", Inputs: []observer.Field{observer.F("took", int64(p.clock.Now()-begun))}})
+}
+
+const (
+	// noticeTime is when the balancer has stopped sending new sessions: after
+	// two misses of a probe each second.
+	noticeTime timekeeper.Millis = 2200
+	// leastShutdown is how long new sessions may still arrive.
+	leastShutdown timekeeper.Millis = 2600
+	// shutdownReserve is kept of the grace period for the end of the process.
+	shutdownReserve timekeeper.Millis = 300
+)
--- /dev/null
+++ b/proxier/seams.go
@@ -0,0 +1,62 @@
+package proxier
+
+import (
+	"context"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// Link is an open connection to a backend server. Its fields are seams.
+type Link struct {
+	// Run sends statements in order and returns an answer to each. An error means
+	// that the connection is of no use any more.
+	Run func(statements []multiplexer.Statement) ([]multiplexer.Answer, error)
+	// Close closes the connection; it may be called at any time.
+	Close func()
+}
+
+// Table is a table of the store.
+type Table int
+
+// Tables of the store.
+const (
+	// TableCatalog holds the operators' newest catalog.
+	TableCatalog Table = iota
+	// TableServers holds the backend servers' registrations.
+	TableServers
+	// TableOwn holds this program's own rows.
+	TableOwn
+	// TableBeats holds the daemons' signs of life.
+	TableBeats
+)
+
+// Rows are rows of a table as of one version of the store.
+type Rows struct {
+	Rows    []elector.Row
+	Version int64
+}
+
+// Seams are what a daemon needs of the outside world.
+type Seams struct {
+	// Connect opens a connection to a backend server. An answer that is not
+	// CodeOK says why the server refused it.
+	Connect func(ctx context.Context, server cataloger.Server) (Link, multiplexer.Answer, error)
+	// Scan reads a table whole.
+	Scan func(ctx context.Context, table Table) (Rows, error)
+	// Feed waits for changes of a table after a version. An error of KindHistory
+	// means that the changes are no longer known.
+	Feed func(ctx context.Context, table Table, after int64, wait timekeeper.Millis) (Rows, error)
+	// Transact changes rows of a table if the conditions hold.
+	Transact func(ctx context.Context, table Table, tx elector.Transaction) elector.Result
+	// Catalog decodes the operators' catalog.
+	Catalog func(row elector.Row) (cataloger.Catalog, error)
+	// Server decodes a backend server's registration.
+	Server func(row elector.Row) (cataloger.Server, error)
+	// Inspect asks a server for its own account of its log, after an order.
+	Inspect func(ctx context.Context, server cataloger.Server, order elector.Order) (elector.Account, error)
+	// Promote makes a server the primary of its group.
+	Promote func(ctx context.Context, order elector.Promotion) error
+}
--- /dev/null
+++ b/router/samples.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"sort"
+
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// sampleSpacing is the least time between two kept samples; it bounds
+	// memory, at the price of floors that are younger by as much.
+	sampleSpacing timekeeper.Millis = 10
+	// sampleKeep is how long samples are kept; it exceeds the ages that
+	// databases may ask for.
+	sampleKeep timekeeper.Millis = 10_000
+)
+
+// Samples are positions of a group's primary over time, by this daemon's clock.
+// A sample says that every commit acknowledged before At is at or before
+// Position.
+type Samples struct {
+	kept []Proof
+	last Proof
+}
+
+// Observe adds what the primary told in answer to a statement sent at a time.
+func (s *Samples) Observe(at timekeeper.Millis, position sequencer.Position) {
+	if at < s.last.At {
+		return
+	}
+	s.last = Proof{At: at, Position: position}
+	n := len(s.kept)
+	if n > 0 && at < s.kept[n-1].At+sampleSpacing {
+		return
+	}
+	s.kept = append(s.kept, s.last)
+	if old := s.before(at - sampleKeep); old > 64 {
+		s.kept = append(s.kept[:0], s.kept[old:]...)
+	}
+}
+
+// before returns how many samples are older than a time.
+func (s *Samples) before(at timekeeper.Millis) int {
+	return sort.Search(len(s.kept), func(i int) bool { return s.kept[i].At >= at })
+}
+
+// Floor returns the position that a read must cover so that its data is at most
+// age old at now, or false if no sample is that recent.
+func (s *Samples) Floor(now, age timekeeper.Millis) (sequencer.Position, bool) {
+	if i := s.before(now - age); i < len(s.kept) {
+		return s.kept[i].Position, true
+	}
+	return s.last.Position, s.last.At >= now-age && s.last.At > 0
+}
+
+// Newest returns the latest sample, or the zero Proof.
+func (s *Samples) Newest() Proof {
+	return s.last
+}
+
+// At returns the primary's position at a time as far as samples tell: that of
+// the last sample before it.
+func (s *Samples) At(at timekeeper.Millis) sequencer.Position {
+	i := s.before(at + 1)
+	if i == 0 {
+		return sequencer.Position{}
+	}
+	return s.kept[i-1].Position
+}
+
+// Reached returns when the primary was first seen at a position or past it.
+func (s *Samples) Reached(position sequencer.Position) (timekeeper.Millis, bool) {
+	i := sort.Search(len(s.kept), func(i int) bool { return !s.kept[i].Position.Before(position) })
+	if i == len(s.kept) {
+		return 0, false
+	}
+	return s.kept[i].At, true
+}
+
+// Reset forgets all samples.
+func (s *Samples) Reset() {
+	*s = Samples{}
+}
