Refuse when a change of primary overruns; leave the rotation when cut off

Change: a change that takes twice its expected time gives no hope of service; one warm connection a server, others closed after 2 s idle; a daemon that reaches neither the store nor most primaries is not ready and ends idle sessions that it can't serve.

--- a/elector/change.go
+++ b/elector/change.go
@@ -109,7 +109,7 @@
 // seekDuty takes the duty where nobody has it, or its holder gives no sign of
 // life while there is a reason for a change.
 func (e *Elector) seekDuty(now timekeeper.Millis, g *group) {
-	if e.dutyBusy {
+	if e.dutyBusy || now < e.dutyDue {
 		return
 	}
 	if e.duty.Holder != "" {
@@ -123,7 +123,7 @@
 		}
 	}
 	next := Duty{Holder: e.settings.Self.Name, Fence: e.duty.Fence + 1}
-	e.dutyBusy = true
+	e.dutyBusy, e.dutyDue = true, now+e.settings.Beat
 	e.log("takes the duty of changing primaries", observer.F("holder", e.duty.Holder), observer.F("fence", next.Fence),
 		observer.F("live", e.live(now, e.duty.Holder)))
 	e.write(Transaction{
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -117,6 +117,7 @@
 	registerDue timekeeper.Millis
 	leaving     bool
 	dutyBusy    bool
+	dutyDue     timekeeper.Millis
 }
 
 // New returns an elector that has read nothing yet.
@@ -408,13 +409,23 @@
 		return lead
 	}
 	lead.Held = true
-	lead.Resume = max(g.announced+e.expected(g), now+resumeLeast)
+	lead.Resume = e.resume(now, g)
 	if g.released == g.reign.Number {
 		lead.Until = 0
 	}
 	return lead
 }
 
+// resume returns when a change under way is expected to be over; 0 where it has
+// taken so long that nothing can be said.
+func (e *Elector) resume(now timekeeper.Millis, g *group) timekeeper.Millis {
+	expected := e.expected(g)
+	if now-g.announced > 2*expected {
+		return 0
+	}
+	return max(g.announced+expected, now+resumeLeast)
+}
+
 // expected is how long a change of a group's primary takes.
 func (e *Elector) expected(g *group) timekeeper.Millis {
 	if g.reign.Took > 0 {
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -6,7 +6,6 @@
 
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/pooler"
-	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -387,12 +386,7 @@
 	}
 	s.silent, s.silentSince = true, now
 	g.log("server is silent: "+why, observer.F("server", s.ID), observer.F("heard", int64(now-s.heard)))
-	for _, j := range sortedJobs(g.waiting) {
-		if j.lane == scheduler.LanePrimary && g.hopeless(now, j) {
-			g.unqueue(j)
-			g.refuse(now, j, g.comeBack(now), "the primary does not answer")
-		}
-	}
+	g.refuseHopeless(now)
 }
 
 // tick ends what is late and looks for silent servers.
@@ -405,6 +399,7 @@
 	for _, j := range sortedJobs(g.running) {
 		g.overdue(now, j)
 	}
+	g.refuseHopeless(now)
 	for _, s := range g.servers {
 		if since := s.waiting(); since > 0 && now-since > 2*g.mux.settings.Overdue && !s.silent {
 			g.silence(now, s, "answers are outstanding")
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -104,7 +104,7 @@
 		if s == nil {
 			s = &server{
 				service: serviceGuess, lag: lagGuess, conns: map[pooler.Conn]*conn{},
-				pool: pooler.New(1<<16, 0, g.mux.nextConn),
+				pool: pooler.New(1<<16, warm, g.mux.nextConn).WithIdleLimit(idleLimit),
 			}
 			s.pool.SetShare(g.mux.share(g))
 			g.byID[described.ID] = s
@@ -156,12 +156,19 @@
 			s.fullUntil = 0
 		}
 	}
-	if lead.Held {
-		for _, j := range sortedJobs(g.waiting) {
-			if j.lane == scheduler.LanePrimary && g.hopeless(now, j) {
-				g.unqueue(j)
-				g.refuse(now, j, g.comeBack(now), "the primary is being changed")
-			}
+	g.refuseHopeless(now)
+}
+
+// refuseHopeless refuses waiting work that needs the primary and can't be served
+// in time.
+func (g *group) refuseHopeless(now timekeeper.Millis) {
+	if g.queue.Waiting(scheduler.LanePrimary) == 0 {
+		return
+	}
+	for _, j := range sortedJobs(g.waiting) {
+		if j.lane == scheduler.LanePrimary && g.hopeless(now, j) {
+			g.unqueue(j)
+			g.refuse(now, j, g.comeBack(now), "no primary can be used")
 		}
 	}
 }
@@ -191,7 +198,7 @@
 // hopeless reports whether a job that needs the primary can't be served in time.
 func (g *group) hopeless(now timekeeper.Millis, j *job) bool {
 	if g.lead.Held {
-		return g.lead.Resume+timekeeper.Millis(g.costs[rankOf(j.database)]) >= j.due
+		return g.lead.Resume <= now || g.lead.Resume+timekeeper.Millis(g.costs[rankOf(j.database)]) >= j.due
 	}
 	return g.leadServer(now) == nil
 }
@@ -375,8 +382,14 @@
 	}
 }
 
-// warm is how many idle connections are kept to each server ahead of need.
-const warm = 2
+const (
+	// warm is how many idle connections are kept to each server ahead of need.
+	warm = 1
+	// idleLimit is how long other connections stay idle. A server counts those
+	// of a daemon that lost power for some seconds, and its limit must hold the
+	// new ones beside them.
+	idleLimit timekeeper.Millis = 2000
+)
 
 // demand is how many idle connections a server should have.
 func (g *group) demand(s *server) int {
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -32,6 +32,11 @@
 	number   pooler.Conn
 	jobs     uint64
 	draining bool
+	// storeLost says that the store does not answer this daemon, and
+	// isolatedSince since when the daemon also reaches few primaries; 0 if it
+	// does not.
+	storeLost     bool
+	isolatedSince timekeeper.Millis
 }
 
 // New returns a multiplexer that knows no catalog yet.
@@ -66,7 +71,7 @@
 
 // Ready reports whether the daemon knows enough to serve callers.
 func (m *Multiplexer) Ready() bool {
-	if !m.known || m.draining {
+	if !m.known || m.draining || m.isolatedSince > 0 {
 		return false
 	}
 	for _, g := range m.groups {
@@ -194,12 +199,69 @@
 	return signs
 }
 
+// SetStore tells whether the store answers this daemon.
+func (m *Multiplexer) SetStore(now timekeeper.Millis, lost bool) {
+	m.storeLost = lost
+	m.findIsolation(now)
+}
+
+// Cornered reports whether most groups' primaries do not answer this daemon.
+func (m *Multiplexer) Cornered() bool {
+	silent, total := 0, 0
+	for _, g := range m.groups {
+		if s := g.byID[g.lead.Server]; s != nil {
+			total++
+			if s.silent {
+				silent++
+			}
+		}
+	}
+	return 2*silent > total
+}
+
+// findIsolation decides whether this daemon is cut off. Callers are better
+// served by others then: the balancer is told that the daemon is not ready.
+func (m *Multiplexer) findIsolation(now timekeeper.Millis) {
+	isolated := m.storeLost && m.Cornered()
+	if isolated == (m.isolatedSince > 0) {
+		return
+	}
+	m.isolatedSince = 0
+	if isolated {
+		m.isolatedSince = now
+	}
+	m.deps.Log(Decision{Part: "daemon", Outcome: "cut off", Inputs: []observer.Field{observer.F("isolated", isolated)}})
+}
+
+// rotationTime is how long the balancer goes on sending sessions to a daemon
+// that is not ready: two misses of a probe each second.
+const rotationTime timekeeper.Millis = 2200
+
+// moveSessions ends idle sessions that a cut-off daemon can't serve, so that
+// their callers connect elsewhere.
+func (m *Multiplexer) moveSessions(now timekeeper.Millis) {
+	if m.isolatedSince == 0 || now-m.isolatedSince < rotationTime {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.sessions)) {
+		s := m.sessions[id]
+		database, found := m.catalog.Database(s.database)
+		if !found || !s.idle() || s.leaving || m.group(database.Group).leadServer(now) != nil {
+			continue
+		}
+		s.leaving = true
+		m.emit(Hangup{Session: id})
+	}
+}
+
 // Tick does what is due by now. Drivers call it every 10 to 50 ms.
 func (m *Multiplexer) Tick(now timekeeper.Millis) []Command {
 	for _, name := range slices.Sorted(maps.Keys(m.groups)) {
 		m.groups[name].tick(now)
 	}
 	m.tickSessions(now)
+	m.findIsolation(now)
+	m.moveSessions(now)
 	return m.take()
 }
 
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -13,8 +13,8 @@
 type Conn uint64
 
 const (
-	// idleLimit is how long a connection beyond the warm ones stays idle.
-	idleLimit timekeeper.Millis = 30_000
+	// defaultIdleLimit is how long a connection beyond the warm ones stays idle.
+	defaultIdleLimit timekeeper.Millis = 30_000
 	// backOff is the pause after the server refused or failed a connection.
 	backOff timekeeper.Millis = 100
 	// urgentReserve is the part of the share that only urgent work may use, as
@@ -39,12 +39,20 @@
 	busy    map[Conn]bool
 	opening map[Conn]bool
 	pause   timekeeper.Millis
+	// idleLimit is how long a connection beyond the warm ones stays idle.
+	idleLimit timekeeper.Millis
 }
 
 // New returns an empty pool. The server takes limit connections in all; warm idle
 // ones are kept ahead of need; next numbers new connections.
 func New(limit, warm int, next func() Conn) *Pool {
-	return &Pool{next: next, limit: limit, warm: warm, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}}
+	return &Pool{next: next, limit: limit, warm: warm, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}, idleLimit: defaultIdleLimit}
+}
+
+// WithIdleLimit sets how long connections beyond the warm ones stay idle.
+func (p *Pool) WithIdleLimit(limit timekeeper.Millis) *Pool {
+	p.idleLimit = limit
+	return p
 }
 
 // SetShare sets how many connections this daemon may have; it is kept between 1
@@ -157,7 +165,7 @@
 	for len(p.idle) > 0 {
 		oldest := p.idle[0]
 		over := p.Size() > p.share
-		stale := len(p.idle) > p.warm && now-oldest.since > idleLimit
+		stale := len(p.idle) > p.warm && now-oldest.since > p.idleLimit
 		if !over && !stale {
 			break
 		}
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -59,6 +59,8 @@
 	ctx      context.Context
 	wait     sync.WaitGroup
 	reread   chan struct{}
+	// check asks for the store to be tried at once.
+	check chan struct{}
 
 	mu       sync.Mutex
 	mux      *multiplexer.Multiplexer
@@ -82,7 +84,7 @@
 	p := &Proxy{
 		settings: settings, seams: seams, clock: clock, log: log, metrics: metrics,
 		links: map[pooler.Conn]*worker{}, sessions: map[uint64]*Session{}, depends: map[string]bool{},
-		reread: make(chan struct{}, 1), ctx: context.Background(),
+		reread: make(chan struct{}, 1), check: make(chan struct{}, 1), ctx: context.Background(),
 	}
 	p.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), multiplexer.Deps{Log: log.Decide, Count: metrics.Count})
 	p.elector = elector.New(elector.DefaultSettings(settings.Host), elector.Deps{Log: log.Decide, Signs: p.signs})
@@ -181,10 +183,7 @@
 				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Promoted(now, c.ID, err) })
 			})
 		case elector.Reread:
-			select {
-			case p.reread <- struct{}{}:
-			default: // a reading is due already
-			}
+			notify(p.reread)
 		case elector.Expel:
 			p.carry(p.mux.Expel(p.clock.Now(), c.Group))
 		}
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -17,6 +17,10 @@
 	// while statements are in progress and while none is.
 	busyTick = 10 * time.Millisecond
 	idleTick = 50 * time.Millisecond
+	// checkTime limits a check of the store, and checkPause is the time between
+	// two checks; an answer takes some milliseconds.
+	checkTime  = 300 * time.Millisecond
+	checkPause = 500 * time.Millisecond
 	// feedSlack is how much longer than asked for an answer to a question for
 	// changes may take.
 	feedSlack timekeeper.Millis = 700
@@ -36,6 +40,7 @@
 	p.spawn(p.scanRows)
 	p.spawn(p.feedRows)
 	p.spawn(p.beat)
+	p.spawn(p.watchStore)
 	p.spawn(p.tick)
 	<-ctx.Done()
 	p.wait.Wait()
@@ -53,6 +58,9 @@
 		if p.mux.Waiting() > 0 {
 			pause = busyTick
 		}
+		if p.mux.Cornered() {
+			notify(p.check)
+		}
 		p.mu.Unlock()
 		if !sleep(ctx, pause) {
 			return
@@ -60,6 +68,14 @@
 	}
 }
 
+// notify wakes the reader of a channel, unless it is to wake up already.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -108,6 +124,27 @@
 	}
 }
 
+// watchStore tries the store at once, with a short time limit, while most
+// primaries are silent, to tell a cut-off daemon from lost primaries.
+func (p *Proxy) watchStore(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.check:
+		}
+		call, cancel := context.WithTimeout(ctx, checkTime)
+		_, err := p.seams.Scan(call, TableBeats)
+		cancel()
+		p.mu.Lock()
+		p.mux.SetStore(p.clock.Now(), err != nil)
+		p.mu.Unlock()
+		if !sleep(ctx, checkPause) {
+			return
+		}
+	}
+}
+
 func (p *Proxy) setCatalog(rows []elector.Row) {
 	for _, row := range rows {
 		if row.Deleted {
@@ -216,6 +253,9 @@
 	bad := map[string]int64{}
 	p.every(ctx, p.settings.Intervals.Servers, func() error {
 		rows, _, err := p.scan(ctx, TableServers, "store: servers")
+		p.mu.Lock()
+		p.mux.SetStore(p.clock.Now(), err != nil)
+		p.mu.Unlock()
 		if err != nil {
 			return err
 		}
