Reach the store through a peer; let a measured lag lose weight

A replica that once lagged, or that was last heard of in an older term, was never asked again, so that two groups' reads stayed on their primaries (80% of statements after second 12).

Change: package detourer, scans and changes of rows through another daemon that asks the store itself; a lag counts half a second after it was measured.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -299,6 +299,15 @@
 	return max(count, 1)
 }
 
+// Addresses returns where the registered daemons take other daemons.
+func (e *Elector) Addresses() []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
+		out = append(out, e.hosts[name].Address)
+	}
+	return out
+}
+
 // SetServers takes the registered backend servers.
 func (e *Elector) SetServers(now timekeeper.Millis, servers []cataloger.Server) []Command {
 	e.byID = make(map[string]cataloger.Server, len(servers))
--- a/elector/row.go
+++ b/elector/row.go
@@ -65,6 +65,8 @@
 	// Incarnation tells runs of a daemon apart.
 	Incarnation int64  `json:"incarnation"`
 	Domain      string `json:"domain"`
+	// Address takes other daemons.
+	Address string `json:"address"`
 }
 
 // Beat is a daemon's sign of life.
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -16,6 +16,8 @@
 	smoothing = 0.1
 	// lagGuess is a replica's expected lag before any was measured.
 	lagGuess timekeeper.Millis = 30
+	// lagHalf is how long after its measurement half of a lag is still expected.
+	lagHalf timekeeper.Millis = 1000
 	// lagLimit bounds the lag that is expected of a replica.
 	lagLimit timekeeper.Millis = 10_000
 	// nearDistance and farDistance are network times there and back in
@@ -58,6 +60,8 @@
 	service      float64
 	applied      sequencer.Position
 	lag          timekeeper.Millis
+	// learned is when lag was measured.
+	learned timekeeper.Millis
 	// heard is when the server last answered anything.
 	heard timekeeper.Millis
 	// silentUntil is until when a server that does not answer is left out.
@@ -124,11 +128,13 @@
 	if g.isLead(s) {
 		return g.samples.Newest().Position
 	}
-	guess := g.samples.At(now - s.lag)
-	if guess.Term != s.applied.Term || guess.Offset < s.applied.Offset {
-		return s.applied
-	}
-	return guess
+	return sequencer.Max(s.applied, g.samples.At(now-s.lagNow(now)))
+}
+
+// lagNow is the lag that is expected by now. What was measured loses weight with
+// time: a server that lagged once would otherwise never be asked again.
+func (s *server) lagNow(now timekeeper.Millis) timekeeper.Millis {
+	return s.lag * lagHalf / (lagHalf + now - s.learned)
 }
 
 // learn takes the position that a replica told of in an answer.
@@ -140,6 +146,8 @@
 	if g.isLead(s) {
 		return
 	}
+	defer func() { s.learned = now }()
+	s.lag = s.lagNow(now)
 	next := sequencer.Position{Term: position.Term, Offset: position.Offset + 1}
 	passed, found := g.samples.Reached(next)
 	if !found {
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/observer"
@@ -17,6 +19,8 @@
 // Settings steer a daemon.
 type Settings struct {
 	Host elector.Host
+	// Seeds are addresses of other daemons to begin with.
+	Seeds []string
 	// Silence is how long an entry of a server may be missing after the store was
 	// away before the server counts as gone.
 	Silence timekeeper.Millis
@@ -71,6 +75,9 @@
 	registry registry
 	// depends holds whether each outside dependency answered last.
 	depends map[string]bool
+	// failedAt is when the own path to the store failed last; 0 if it works.
+	failedAt timekeeper.Millis
+	detourer *detourer.Detourer
 }
 
 // worker is the goroutine of one connection to a backend server.
@@ -86,6 +93,8 @@
 		links: map[pooler.Conn]*worker{}, sessions: map[uint64]*Session{}, depends: map[string]bool{},
 		reread: make(chan struct{}, 1), check: make(chan struct{}, 1), ctx: context.Background(),
 	}
+	p.detourer = detourer.New(settings.Host.Address, net.Dialer{})
+	p.detourer.AddPeers(settings.Seeds)
 	p.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), multiplexer.Deps{Log: log.Decide, Count: metrics.Count})
 	p.elector = elector.New(elector.DefaultSettings(settings.Host), elector.Deps{Log: log.Decide, Signs: p.signs})
 	return p
@@ -164,7 +173,7 @@
 		case elector.Write:
 			p.spawn(func(ctx context.Context) {
 				call, cancel := p.call(ctx)
-				result := p.seams.Transact(call, TableOwn, c.Tx)
+				result := p.transact(call, TableOwn, c.Tx)
 				cancel()
 				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Written(now, c.ID, result) })
 			})
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/observer"
@@ -28,9 +30,12 @@
 	storeGap timekeeper.Millis = 2500
 )
 
-// Run runs the daemon until ctx ends and its goroutines have ended.
-func (p *Proxy) Run(ctx context.Context) {
+// Run runs the daemon until ctx ends and its goroutines have ended. Other daemons
+// are answered on the listener.
+func (p *Proxy) Run(ctx context.Context, peers net.Listener) {
 	p.ctx = ctx
+	served := make(chan struct{})
+	go detourer.Serve(ctx, peers, p.direct(), served)
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "start", Inputs: []observer.Field{
 		observer.F("host", p.settings.Host.Name), observer.F("domain", p.settings.Host.Domain), observer.F("incarnation", p.settings.Host.Incarnation),
 	}})
@@ -44,6 +49,7 @@
 	p.spawn(p.tick)
 	<-ctx.Done()
 	p.wait.Wait()
+	<-served
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "stop"})
 }
 
@@ -51,6 +57,7 @@
 	for {
 		p.mu.Lock()
 		now := p.clock.Now()
+		p.mux.SetStore(now, p.failedAt > 0)
 		p.carry(p.mux.Tick(now))
 		p.carryElection(p.elector.Tick(now))
 		p.lead()
@@ -106,7 +113,7 @@
 	call, cancel := p.call(ctx)
 	defer cancel()
 	asked := p.clock.Now()
-	rows, err := p.seams.Scan(call, table)
+	rows, err := p.read(call, table)
 	p.dependency(name, err)
 	return rows, asked, err
 }
@@ -136,9 +143,7 @@
 		call, cancel := context.WithTimeout(ctx, checkTime)
 		_, err := p.seams.Scan(call, TableBeats)
 		cancel()
-		p.mu.Lock()
-		p.mux.SetStore(p.clock.Now(), err != nil)
-		p.mu.Unlock()
+		p.setLost(err != nil)
 		if !sleep(ctx, checkPause) {
 			return
 		}
@@ -225,6 +230,7 @@
 }
 
 func (p *Proxy) setRows(rows Rows, asked timekeeper.Millis) {
+	defer func() { p.detourer.AddPeers(p.peers()) }()
 	p.elect(func(now timekeeper.Millis) []elector.Command {
 		return p.elector.SetRows(now, asked, rows.Rows, rows.Version)
 	})
@@ -253,9 +259,6 @@
 	bad := map[string]int64{}
 	p.every(ctx, p.settings.Intervals.Servers, func() error {
 		rows, _, err := p.scan(ctx, TableServers, "store: servers")
-		p.mu.Lock()
-		p.mux.SetStore(p.clock.Now(), err != nil)
-		p.mu.Unlock()
 		if err != nil {
 			return err
 		}
@@ -295,7 +298,7 @@
 			return err
 		}
 		call, cancel := p.call(ctx)
-		p.seams.Transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
+		p.transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
 		cancel()
 		rows, _, err := p.scan(ctx, TableBeats, "store: beats")
 		if err != nil {
@@ -355,3 +358,10 @@
 	// shutdownReserve is kept of the grace period for the end of the process.
 	shutdownReserve timekeeper.Millis = 300
 )
+
+// peers returns the addresses of the registered daemons.
+func (p *Proxy) peers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.elector.Addresses()
+}
