Find lost answers by connection; suspect a silent primary sooner

Change: an answer counts as lost after 150 ms or eight expected times, per connection; reads go elsewhere, open transactions are rolled back so that they can be repeated, changes wait. Suspicion after 0.7 s of silence; stepping down of a silent primary is asked for without waiting.

--- a/elector/change.go
+++ b/elector/change.go
@@ -259,19 +259,21 @@
 	}
 	number := c.number
 	c.due = now + e.settings.Takeover
+	if c.reason == ReasonFailure {
+		e.tryStepDown(g, server)
+		c.stage = stageChoose
+		e.choose(now, g)
+		return
+	}
 	e.inspect(server, Order{Demand: DemandStepDown, Term: g.reign.Term + 1}, func(now timekeeper.Millis, account Account, err error) {
 		if g.change.stage != stageStepDown || g.change.number != number {
 			return
 		}
 		c.due = now
-		if err != nil && c.reason == ReasonHandover && now-c.announced < e.settings.Patience/4 {
+		if err != nil && now-c.announced < e.settings.Patience/4 {
 			c.due = now + retryInterval/3
 			return
 		}
-		if err == nil && c.reason == ReasonFailure && account.Primary {
-			e.cancel(now, g, "the primary answers again")
-			return
-		}
 		if err == nil {
 			c.final = account.Received
 		}
@@ -282,6 +284,15 @@
 	})
 }
 
+// tryStepDown asks a primary that does not answer to step down, without waiting
+// for it: nobody here uses it any more, and it may be back any time.
+func (e *Elector) tryStepDown(g *group, server cataloger.Server) {
+	e.inspect(server, Order{Demand: DemandStepDown, Term: g.reign.Term + 1}, func(_ timekeeper.Millis, account Account, err error) {
+		e.log("silent primary asked to step down", observer.F("group", g.name), observer.F("server", server.ID),
+			observer.F("primary", account.Primary), observer.F("received", account.Received.String()), observer.F("error", errorText(err)))
+	})
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -48,7 +48,7 @@
 		Self:     self,
 		Lease:    12_000,
 		Slack:    500,
-		Suspect:  1200,
+		Suspect:  700,
 		Alive:    800,
 		Settle:   300,
 		Patience: 8000,
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -401,42 +401,42 @@
 	}
 	g.refuseHopeless(now)
 	for _, s := range g.servers {
-		if since := s.waiting(); since > 0 && now-since > 2*g.mux.settings.Overdue && !s.silent {
+		if since := s.waiting(); since > 0 && now-since > silentFactor*g.mux.settings.Overdue && !s.silent {
 			g.silence(now, s, "answers are outstanding")
 		}
 	}
 	g.pump(now)
 }
 
-// overdue ends a job whose time is up, and sends a read that met silence to
-// another server.
+// overdue ends a job whose time is up. A read whose answer does not come is sent
+// to another server, and a transaction whose statement gets no answer is rolled
+// back, so that the caller can repeat it in time. A change has to wait: whether
+// it took effect can't be told.
 func (g *group) overdue(now timekeeper.Millis, j *job) {
 	c := j.conn
-	limit := max(g.mux.settings.Overdue, timekeeper.Millis(overdueFactor*c.server.service))
-	silent := c.sent > c.server.heard && now-c.sent > limit
-	if now < j.due && !(silent && j.repeatable() && j.attempts < attemptLimit) {
+	late := now-c.sent > max(g.mux.settings.Overdue, timekeeper.Millis(overdueFactor*c.server.service))
+	if now < j.due && (!late || j.changes() || j.attempts >= attemptLimit) {
 		return
 	}
 	g.log("answer overdue", observer.F("server", c.server.ID), observer.F("request", j.statement.ID), observer.F("sent", int64(now-c.sent)),
 		observer.F("heard", int64(now-c.server.heard)))
+	begun := j.session.tx != nil && j.session.tx.begun
 	j.session.detach(c)
 	g.release(now, j)
 	c.holder = nil
 	g.mux.closeConn(now, c.id)
-	if silent {
+	if late && c.sent > c.server.heard {
 		g.silence(now, c.server, "an answer is overdue")
 	}
-	if now < j.due {
-		g.again(now, j, c.server, Answer{Code: CodeTimeout, Text: "the server did not answer"})
-		return
-	}
 	switch {
-	case j.step != stepRun && (j.session.tx == nil || !j.session.tx.begun):
-		g.refuse(now, j, retryShort, "the server did not answer in time")
-	case j.changes():
+	case j.step == stepRun && j.changes():
 		g.end(now, j, Answer{Code: CodeInDoubt, Text: "the time limit passed"})
-	case j.session.tx != nil:
-		g.end(now, j, Answer{Code: CodeAborted, Text: "the time limit passed"})
+	case begun || j.session.tx != nil && j.step == stepRun:
+		g.end(now, j, Answer{Code: CodeAborted, Text: "the server did not answer in time", RetryAfter: retryShort})
+	case now < j.due:
+		g.again(now, j, c.server, Answer{Code: CodeTimeout, Text: "the server did not answer"})
+	case j.step != stepRun:
+		g.refuse(now, j, retryShort, "the server did not answer in time")
 	default:
 		g.end(now, j, Answer{Code: CodeTimeout, Text: "the time limit passed"})
 	}
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -14,6 +14,9 @@
 	serviceGuess = 10.0
 	// smoothing is the weight of a new measurement in moving averages.
 	smoothing = 0.1
+	// silentFactor is how many times Overdue a server may tell nothing while answers
+	// are outstanding.
+	silentFactor = 3
 	// lagGuess is a replica's expected lag before any was measured.
 	lagGuess timekeeper.Millis = 30
 	// lagHalf is how long after its measurement half of a lag is still expected.
@@ -24,8 +27,8 @@
 	// milliseconds, inside a failure domain and to another one.
 	nearDistance, farDistance = 0.4, 1.2
 	// overdueFactor is how many times the expected time of a statement must pass
-	// in silence before a read is sent to another server.
-	overdueFactor = 6
+	// before its answer counts as lost.
+	overdueFactor = 8
 	// fullPause is how long a server whose queue is full gets no more reads.
 	fullPause timekeeper.Millis = 25
 )
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -15,8 +15,7 @@
 	Queue int
 	// Spare is how many of a server's connections are left to control traffic.
 	Spare int
-	// Overdue is how long a read may run in silence before it is sent to another
-	// server.
+	// Overdue is the least time before the answer to a read counts as lost.
 	Overdue timekeeper.Millis
 	// Probe is how long a server that was found silent is left out between two
 	// attempts to connect to it.
@@ -35,7 +34,7 @@
 		Classes: scheduler.DefaultClasses(),
 		Queue:   4096,
 		Spare:   2,
-		Overdue: 250,
+		Overdue: 150,
 		Probe:   300,
 		Forget:  5000,
 		Margin:  50,
