--- a/elector/group.go
+++ b/elector/group.go
@@ -29,7 +29,10 @@
 	// of, and answering says that it is being written.
 	answered  int64
 	answering bool
-	answerDue timekeeper.Millis
+	// asked is the number of the change for which this daemon asked the primary
+	// itself, and silent that of the change for which it got no answer.
+	asked, silent int64
+	answerDue     timekeeper.Millis
 
 	change change
 	// pausedUntil is when this daemon may announce a change again.
@@ -75,6 +78,9 @@
 	}
 	signs := e.deps.Signs(g.name, g.primary())
 	if g.released != number && g.objected != number {
+		if g.reign.Change == ReasonFailure && e.askFirst(now, g, signs) {
+			return
+		}
 		if g.reign.Change == ReasonFailure && signs.Heard > 0 && now-signs.Heard < e.settings.Alive {
 			g.objected = number
 			e.log("objects to a change: the primary answers", observer.F("group", g.name), observer.F("number", number),
@@ -101,3 +107,37 @@
 		}
 	})
 }
+
+// askLimit is how long a primary is waited for that this daemon has had no reason
+// to call of late.
+const askLimit timekeeper.Millis = 400
+
+// askFirst asks the primary itself where the daemon's own traffic tells nothing
+// of it. It reports whether the answer is still awaited.
+func (e *Elector) askFirst(now timekeeper.Millis, g *group, signs Signs) bool {
+	number := g.reign.Number
+	if signs.Silent > 0 || signs.Heard > 0 && now-signs.Heard < e.settings.Alive || g.silent == number {
+		return false
+	}
+	if g.asked == number {
+		return now-g.announced < askLimit
+	}
+	server, registered := e.byID[g.primary()]
+	if !registered {
+		return false
+	}
+	g.asked = number
+	e.inspect(server, Order{}, func(now timekeeper.Millis, account Account, err error) {
+		if g.reign.Number != number || g.released == number {
+			return
+		}
+		if err != nil || !account.Primary {
+			g.silent = number
+		} else {
+			g.objected = number
+			e.log("objects to a change: the primary answers a question", observer.F("group", g.name), observer.F("number", number))
+		}
+		e.respond(now, g)
+	})
+	return true
+}
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -26,6 +26,8 @@
 	Silence timekeeper.Millis
 	// Grace is how long a shutdown may take.
 	Grace timekeeper.Millis
+	// Elector steers changes of primary.
+	Elector elector.Settings
 	// Intervals are the pauses of the daemon's loops.
 	Intervals Intervals
 }
@@ -50,29 +52,26 @@
 
 // DefaultSettings returns the settings of a daemon on a host.
 func DefaultSettings(host elector.Host) Settings {
-	return Settings{Host: host, Silence: 2500, Grace: 6000, Intervals: DefaultIntervals()}
+	return Settings{Host: host, Silence: 2500, Grace: 6000, Elector: elector.DefaultSettings(host), Intervals: DefaultIntervals()}
 }
 
 // Proxy is one daemon.
 type Proxy struct {
-	settings Settings
-	seams    Seams
-	clock    timekeeper.Clock
-	log      *observer.Logger
-	metrics  *Metrics
-	ctx      context.Context
-	wait     sync.WaitGroup
-	reread   chan struct{}
+	seams   Seams
+	clock   timekeeper.Clock
+	log     *observer.Logger
+	metrics *Metrics
+	ctx     context.Context
+	wait    sync.WaitGroup
+	reread  chan struct{}
 	// check asks for the store to be tried at once.
 	check chan struct{}
 
-	mu       sync.Mutex
-	mux      *multiplexer.Multiplexer
-	elector  *elector.Elector
+	mu sync.Mutex
+	*node
 	links    map[pooler.Conn]*worker
 	sessions map[uint64]*Session
 	number   uint64
-	registry registry
 	// depends holds whether each outside dependency answered last.
 	depends map[string]bool
 	// failedAt is when the own path to the store failed last; 0 if it works.
@@ -89,23 +88,16 @@
 // New returns a daemon that does nothing yet.
 func New(settings Settings, seams Seams, clock timekeeper.Clock, log *observer.Logger, metrics *Metrics) *Proxy {
 	p := &Proxy{
-		settings: settings, seams: seams, clock: clock, log: log, metrics: metrics,
+		seams: seams, clock: clock, log: log, metrics: metrics,
 		links: map[pooler.Conn]*worker{}, sessions: map[uint64]*Session{}, depends: map[string]bool{},
 		reread: make(chan struct{}, 1), check: make(chan struct{}, 1), ctx: context.Background(),
 	}
 	p.detourer = detourer.New(settings.Host.Address, net.Dialer{})
 	p.detourer.AddPeers(settings.Seeds)
-	p.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), multiplexer.Deps{Log: log.Decide, Count: metrics.Count})
-	p.elector = elector.New(elector.DefaultSettings(settings.Host), elector.Deps{Log: log.Decide, Signs: p.signs})
+	p.node = newNode(settings, multiplexer.Deps{Log: log.Decide, Count: metrics.Count}, elector.Deps{Log: log.Decide})
 	return p
 }
 
-// signs tells the elector what the daemon's own traffic says of a primary.
-func (p *Proxy) signs(group, server string) elector.Signs {
-	signs := p.mux.Signs(group, server)
-	return elector.Signs{Heard: signs.Heard, Silent: signs.Silent, Settled: signs.Settled, Seen: signs.Seen, Term: signs.Term}
-}
-
 // Ready reports whether the daemon should get callers.
 func (p *Proxy) Ready() bool {
 	p.mu.Lock()
@@ -152,19 +144,13 @@
 func (p *Proxy) elect(f func(now timekeeper.Millis) []elector.Command) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.carryElection(f(p.clock.Now()))
-	p.lead()
+	now := p.clock.Now()
+	p.carryBoth(p.settle(now, f(now)))
 }
 
-// lead passes the elector's beliefs on to the multiplexer.
-func (p *Proxy) lead() {
-	now := p.clock.Now()
-	for name, lead := range p.elector.Leads(now) {
-		p.carry(p.mux.SetLead(now, name, multiplexer.Lead{
-			Server: lead.Server, Term: lead.Term, History: lead.History, Until: lead.Until, Held: lead.Held, Resume: lead.Resume,
-		}))
-	}
-	p.carry(p.mux.SetHosts(now, p.elector.Hosts(now)))
+func (p *Proxy) carryBoth(commands []multiplexer.Command, elections []elector.Command) {
+	p.carry(commands)
+	p.carryElection(elections)
 }
 
 func (p *Proxy) carryElection(commands []elector.Command) {
@@ -193,8 +179,6 @@
 			})
 		case elector.Reread:
 			notify(p.reread)
-		case elector.Expel:
-			p.carry(p.mux.Expel(p.clock.Now(), c.Group))
 		}
 	}
 }
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -46,21 +46,17 @@
 	p.spawn(p.feedRows)
 	p.spawn(p.beat)
 	p.spawn(p.watchStore)
-	p.spawn(p.tick)
+	p.spawn(p.run)
 	<-ctx.Done()
 	p.wait.Wait()
 	<-served
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "stop"})
 }
 
-func (p *Proxy) tick(ctx context.Context) {
+func (p *Proxy) run(ctx context.Context) {
 	for {
 		p.mu.Lock()
-		now := p.clock.Now()
-		p.mux.SetStore(now, p.failedAt > 0)
-		p.carry(p.mux.Tick(now))
-		p.carryElection(p.elector.Tick(now))
-		p.lead()
+		p.carryBoth(p.node.tick(p.clock.Now(), p.failedAt > 0))
 		pause := idleTick
 		if p.mux.Waiting() > 0 {
 			pause = busyTick
@@ -278,11 +274,7 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		now := p.clock.Now()
-		servers = p.registry.merge(now, servers, storeGap, p.settings.Silence)
-		p.carry(p.mux.SetServers(now, servers))
-		p.carryElection(p.elector.SetServers(now, servers))
-		p.lead()
+		p.carryBoth(p.setServers(p.clock.Now(), servers))
 		return nil
 	})
 }
@@ -290,8 +282,7 @@
 // beat writes this daemon's signs of life and reads those of the others.
 func (p *Proxy) beat(ctx context.Context) {
 	count := int64(0)
-	beat := elector.DefaultSettings(p.settings.Host).Beat
-	p.every(ctx, beat, func() error {
+	p.every(ctx, p.settings.Elector.Beat, func() error {
 		count++
 		value, err := json.Marshal(elector.Beat{Incarnation: p.settings.Host.Incarnation, Count: count})
 		if err != nil {
@@ -343,8 +334,7 @@
 		}
 	}
 	p.mu.Lock()
-	p.carryElection(p.elector.Leave())
-	p.lead()
+	p.carryBoth(p.settle(p.clock.Now(), p.elector.Leave()))
 	p.mu.Unlock()
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "has shut down", Inputs: []observer.Field{observer.F("took", int64(p.clock.Now()-begun))}})
 }
--- /dev/null
+++ b/proxier/scenario_test.go
@@ -0,0 +1,122 @@
+package proxier
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// scenario is a schedule written down.
+type scenario struct {
+	// faults happen at their times.
+	faults map[timekeeper.Millis]func(w *world)
+	// leads is the server that must lead at the end, or empty for any but s0.
+	leads string
+	// by is when that must be so.
+	by timekeeper.Millis
+	// not is until when s0 must lead still.
+	not timekeeper.Millis
+}
+
+func TestChangesOfPrimary(t *testing.T) {
+	const start = 5000
+	cut := func(w *world, daemons ...int) {
+		for _, i := range daemons {
+			w.daemons[i].serverCut["s0"] = true
+		}
+	}
+	tests := map[string]scenario{
+		"a dark primary is replaced": {
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].down = true }},
+			by:     start + 2000 + promoteTime,
+		},
+		"a leaving primary hands over": {
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].leaving = true }},
+			by:     start + 1500 + promoteTime,
+		},
+		"a primary that one daemon reaches is kept": {
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cut(w, 1, 2) }},
+			leads:  "s0", by: start + 12_000,
+		},
+		"a daemon without the store keeps its primary until its lease ends": {
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cut(w, 1, 2); w.daemons[0].storeCut = true }},
+			not:    start + 2000, by: start + testLease + 5000,
+		},
+		"a daemon that was killed does not delay a change for longer than its lease": {
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.kill(w.daemons[2]); w.servers[0].down = true }},
+			by:     start + testLease + 4000,
+		},
+		"no primary is replaced while the store is down": {
+			faults: map[timekeeper.Millis]func(w *world){
+				start:        func(w *world) { w.down = true; w.servers[0].down = true },
+				start + 6000: func(w *world) { w.servers[0].down = false },
+			},
+			leads: "s0", by: start + 6500,
+		},
+		"replicas that lack commits wait for the primary's return": {
+			faults: map[timekeeper.Millis]func(w *world){
+				start:        func(w *world) { w.servers[1].deaf, w.servers[2].deaf = true, true },
+				start + 500:  func(w *world) { w.servers[0].down = true },
+				start + 4000: func(w *world) { w.servers[0].down = false },
+			},
+			leads: "s0", by: start + 9000,
+		},
+		"the duty's holder is killed in the middle of a change": {
+			faults: map[timekeeper.Millis]func(w *world){
+				start:        func(w *world) { w.servers[0].down = true },
+				start + 1000: func(w *world) { w.killHolder() },
+			},
+			by: start + 12_000,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(8) {
+				w := newWorld(seed+1, 3)
+				for i := range 6 {
+					w.after(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
+				}
+				for at, f := range test.faults {
+					w.after(at-w.now, func() { w.mark("fault", f) })
+				}
+				if test.not > 0 {
+					w.run(test.not)
+					if !w.servers[0].primary {
+						t.Fatalf("seed %d: s0 was replaced too early:\n%s", seed, strings.Join(w.history, "\n"))
+					}
+				}
+				w.run(test.by)
+				if lead := w.leader(); test.leads != "" && lead != test.leads || test.leads == "" && (lead == "" || lead == "s0") {
+					t.Errorf("seed %d: %s leads:\n%s", seed, w.leader(), strings.Join(w.history, "\n"))
+				}
+				if len(w.faults) > 0 {
+					t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.faults, "\n"), strings.Join(w.history, "\n"))
+				}
+			}
+		})
+	}
+}
+
+// leader returns the primary of the highest term that is up.
+func (w *world) leader() string {
+	best, term := "", int64(0)
+	for _, s := range w.servers {
+		if s.primary && !s.down && s.term > term {
+			best, term = s.id, s.term
+		}
+	}
+	return best
+}
+
+// killHolder kills the daemon that has the duty of changing primaries, and
+// starts it again after a while.
+func (w *world) killHolder() {
+	for _, d := range w.daemons {
+		if strings.Contains(string(w.rows["own/duty"].Value), `"`+d.name+`"`) {
+			w.kill(d)
+			w.after(6000, func() { w.start(d) })
+		}
+	}
+}
