Ask the store less often: feeds in place of scans, longer intervals

Change: the catalog comes from its feed alone, which asks again every 2.5 s; registrations every 2 s, rows every 4 s, signs of life every 3 s.

--- a/elector/change.go
+++ b/elector/change.go
@@ -415,7 +415,7 @@
 
 // dutyFresh is how recently the rows must have been read when a promotion is
 // asked for, so that a daemon that was suspended does not act on an old duty.
-const dutyFresh timekeeper.Millis = 2500
+const dutyFresh timekeeper.Millis = 4500
 
 // confirm waits until the successor leads, and then writes so.
 func (e *Elector) confirm(now timekeeper.Millis, g *group) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -53,8 +53,8 @@
 		Settle:   300,
 		Patience: 8000,
 		Pause:    2000,
-		Takeover: 5000,
-		Beat:     1500,
+		Takeover: 7000,
+		Beat:     3000,
 		Change:   1400,
 	}
 }
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -34,7 +34,6 @@
 
 // Intervals are times between two readings of the store.
 type Intervals struct {
-	Catalog timekeeper.Millis
 	Servers timekeeper.Millis
 	Rows    timekeeper.Millis
 	// Feed is how long the store may hold a question for changes.
@@ -47,7 +46,7 @@
 
 // DefaultIntervals returns the times that settings start from.
 func DefaultIntervals() Intervals {
-	return Intervals{Catalog: 2000, Servers: 1000, Rows: 2000, Feed: 6000, Call: 700, Retry: 150}
+	return Intervals{Servers: 2000, Rows: 4000, Feed: 2500, Call: 700, Retry: 150}
 }
 
 // DefaultSettings returns the settings of a daemon on a host.
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -39,7 +39,6 @@
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "start", Inputs: []observer.Field{
 		observer.F("host", p.settings.Host.Name), observer.F("domain", p.settings.Host.Domain), observer.F("incarnation", p.settings.Host.Incarnation),
 	}})
-	p.spawn(p.scanCatalog)
 	p.spawn(p.feedCatalog)
 	p.spawn(p.scanServers)
 	p.spawn(p.scanRows)
@@ -164,25 +163,6 @@
 	}
 }
 
-func (p *Proxy) scanCatalog(ctx context.Context) {
-	var version int64
-	p.every(ctx, p.settings.Intervals.Catalog, func() error {
-		rows, _, err := p.scan(ctx, TableCatalog, "store: catalog")
-		if err != nil {
-			return err
-		}
-		var changed []elector.Row
-		for _, row := range rows.Rows {
-			if row.Version > version {
-				changed = append(changed, row)
-				version = row.Version
-			}
-		}
-		p.setCatalog(changed)
-		return nil
-	})
-}
-
 // feed follows a table's changes after a first reading. Where changes are no
 // longer known it reads the table again.
 func (p *Proxy) feed(ctx context.Context, table Table, name string, whole func(Rows, timekeeper.Millis), changed func(Rows)) {
