One reader of the store in each failure domain; keep missing registrations for 2.5 s

Change: the first live daemon of a domain reads; the others ask it, by long poll, for rows with their age; the age counts against the lease. A missing registration holds for 2.5 s whatever came before. Registrations of daemons without a sign of life are marked and, a lease later, deleted.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -1,7 +1,6 @@
-// Package detourer reaches the store through another daemon while a daemon's own
-// path to it fails. A daemon answers such questions from the store itself, never
-// through a further daemon and never from memory, so that an answer is as fresh
-// as one of the store.
+// Package detourer reaches the store through other daemons: any of them while a
+// daemon's own path fails, which then asks the store itself, and one of its
+// failure domain for readings from memory, which come with their age.
 package detourer
 
 import (
@@ -15,17 +14,23 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
 // Methods of the protocol between daemons.
 const (
 	methodScan     = "scan"
 	methodTransact = "transact"
+	methodShare    = "share"
 )
 
-// callLimit limits one call that is served for another daemon.
+// callLimit limits one call that is served for another daemon, beyond what the
+// call itself asks to wait.
 const callLimit = time.Second
 
+// connectionLimit limits the life of another daemon's connection.
+const connectionLimit = 15 * time.Second
+
 // Rows are rows of a table as of one version of the store.
 type Rows struct {
 	Rows    []elector.Row `json:"rows"`
@@ -41,12 +46,38 @@
 // Question asks for a table's rows.
 type Question struct {
 	Table int `json:"table"`
+	// After is the number of the reading that the asker has, and Wait how long
+	// the answer may wait for another one.
+	After int64             `json:"after,omitempty"`
+	Wait  timekeeper.Millis `json:"wait,omitempty"`
+}
+
+// Shared is a reading from another daemon's memory.
+type Shared struct {
+	Rows    []elector.Row `json:"rows,omitempty"`
+	Version int64         `json:"version"`
+	// Number names the rows; it means nothing to other daemons.
+	Number int64 `json:"number"`
+	// Age is how long ago the table was read whole.
+	Age timekeeper.Millis `json:"age"`
+	// Held is how long the answer waited for another reading.
+	Held timekeeper.Millis `json:"held,omitempty"`
+	// Same says that the rows are those that the asker has.
+	Same bool `json:"same,omitempty"`
+}
+
+// ReadAt returns when the store was asked at the earliest, by the clock of a
+// daemon that asked for the reading at a time.
+func (s Shared) ReadAt(asked timekeeper.Millis) timekeeper.Millis {
+	return asked + s.Held - s.Age
 }
 
 // Store is the daemon's own path to the store. Its fields are seams.
 type Store struct {
 	Scan     func(ctx context.Context, table int) (Rows, error)
 	Transact func(ctx context.Context, change Change) elector.Result
+	// Share answers from memory.
+	Share func(ctx context.Context, question Question) (Shared, error)
 }
 
 // Serve answers other daemons until ctx ends, and closes done after that.
@@ -68,9 +99,10 @@
 		conns.Add(1)
 		go func() {
 			defer conns.Done()
-			call, cancel := context.WithTimeout(ctx, callLimit)
+			call, cancel := context.WithTimeout(ctx, connectionLimit)
 			defer cancel()
-			rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(store.handle))
+			handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(store.handle))
+			rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), handler)
 			select {
 			case <-call.Done():
 			case <-rpc.DisconnectNotify():
@@ -85,18 +117,25 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
 	switch r.Method {
-	case methodScan:
+	case methodScan, methodShare:
 		var question Question
 		if err := json.Unmarshal(*r.Params, &question); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return s.Scan(ctx, question.Table)
+		call, cancel := context.WithTimeout(ctx, callLimit+question.Wait.Duration())
+		defer cancel()
+		if r.Method == methodShare {
+			return s.Share(call, question)
+		}
+		return s.Scan(call, question.Table)
 	case methodTransact:
 		var change Change
 		if err := json.Unmarshal(*r.Params, &change); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return s.Transact(ctx, change), nil
+		call, cancel := context.WithTimeout(ctx, callLimit)
+		defer cancel()
+		return s.Transact(call, change), nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
@@ -127,14 +166,6 @@
 	}
 }
 
-// SetPeers replaces the addresses of other daemons.
-func (d *Detourer) SetPeers(addresses []string) {
-	d.mu.Lock()
-	d.peers = nil
-	d.mu.Unlock()
-	d.AddPeers(addresses)
-}
-
 // askLimit limits how long one daemon is waited for; tryLimit is how many are
 // asked for one call.
 const (
@@ -159,6 +190,13 @@
 	return result
 }
 
+// Share asks one daemon for a reading from its memory.
+func (d *Detourer) Share(ctx context.Context, peer string, question Question) (Shared, error) {
+	var shared Shared
+	_, err := d.askOne(ctx, peer, methodShare, askLimit+question.Wait.Duration(), question, &shared)
+	return shared, err
+}
+
 // ask calls daemons one after the other until one answers.
 func (d *Detourer) ask(ctx context.Context, method string, params, result any) error {
 	d.mu.Lock()
@@ -168,7 +206,7 @@
 	for i := range min(len(peers), tryLimit) {
 		peer := peers[(first+i)%len(peers)]
 		var sent bool
-		if sent, err = d.askOne(ctx, peer, method, params, result); err == nil {
+		if sent, err = d.askOne(ctx, peer, method, askLimit, params, result); err == nil {
 			return nil
 		}
 		d.mu.Lock()
@@ -182,10 +220,12 @@
 }
 
 // askOne calls one daemon. It tells whether the call was sent.
-func (d *Detourer) askOne(ctx context.Context, peer, method string, params, result any) (bool, error) {
-	call, cancel := context.WithTimeout(ctx, askLimit)
+func (d *Detourer) askOne(ctx context.Context, peer, method string, limit time.Duration, params, result any) (bool, error) {
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	conn, err := d.dialer.DialContext(call, "tcp", peer)
+	dial, done := context.WithTimeout(call, askLimit)
+	defer done()
+	conn, err := d.dialer.DialContext(dial, "tcp", peer)
 	if err != nil {
 		return false, &Error{Op: method, Kind: KindConnection, Text: err.Error()}
 	}
--- a/elector/change.go
+++ b/elector/change.go
@@ -183,7 +183,7 @@
 		observer.F("primary", next.Primary), observer.F("term", next.Term), observer.F("number", next.Number), observer.F("fence", e.duty.Fence))
 	e.writeReign(g, next, func(now timekeeper.Millis, result Result) {
 		if result != Applied {
-			g.change = change{due: now + retryInterval}
+			g.change = change{due: now + 3*retryInterval}
 			e.out = append(e.out, Reread{})
 			return
 		}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -46,7 +46,7 @@
 func DefaultSettings(self Host) Settings {
 	return Settings{
 		Self:     self,
-		Lease:    12_000,
+		Lease:    14_000,
 		Slack:    500,
 		Suspect:  700,
 		Alive:    800,
@@ -118,6 +118,9 @@
 	leaving     bool
 	dutyBusy    bool
 	dutyDue     timekeeper.Millis
+	// retired is when this daemon saw that a registration was marked, by host.
+	retired   map[string]retirement
+	retireDue timekeeper.Millis
 }
 
 // New returns an elector that has read nothing yet.
@@ -128,7 +131,7 @@
 	return &Elector{
 		settings: settings, deps: deps,
 		rows: map[string]Row{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
-		beats: map[string]beatSeen{}, groups: map[string]*group{}, byID: map[string]cataloger.Server{},
+		retired: map[string]retirement{}, beats: map[string]beatSeen{}, groups: map[string]*group{}, byID: map[string]cataloger.Server{},
 		writing: map[uint64]func(timekeeper.Millis, Result){},
 		asking:  map[uint64]func(timekeeper.Millis, Account, error){},
 		posting: map[uint64]func(timekeeper.Millis, error){},
@@ -205,6 +208,28 @@
 	return e.take()
 }
 
+// Confirm takes that no row had changed when the rows were asked for at a time.
+func (e *Elector) Confirm(now, asked timekeeper.Millis) []Command {
+	e.readAt = max(e.readAt, asked)
+	e.step(now)
+	return e.take()
+}
+
+// Reader returns the address of the daemon that reads the store for the others of
+// this daemon's failure domain: the first live one by name. It is empty where
+// that is this daemon.
+func (e *Elector) Reader(now timekeeper.Millis) string {
+	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
+		if name == e.settings.Self.Name {
+			return ""
+		}
+		if host := e.hosts[name]; host.Domain == e.settings.Self.Domain && e.live(now, name) {
+			return host.Address
+		}
+	}
+	return ""
+}
+
 // ChangeRows takes the rows that changed up to a version.
 func (e *Elector) ChangeRows(now timekeeper.Millis, rows []Row, version int64) []Command {
 	for _, row := range rows {
@@ -359,6 +384,7 @@
 		return
 	}
 	e.register(now)
+	e.retire(now)
 	for _, name := range slices.Sorted(maps.Keys(e.groups)) {
 		g := e.groups[name]
 		e.respond(now, g)
--- /dev/null
+++ b/elector/retire.go
@@ -0,0 +1,60 @@
+package elector
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// retirement is a marked registration as this daemon saw it.
+type retirement struct {
+	version int64
+	at      timekeeper.Millis
+}
+
+// retire marks the registrations of daemons that give no sign of life, and
+// deletes them once they can't use any primary any more. A change of primary
+// would have to wait for each of them otherwise. The first live daemon by name
+// does so.
+func (e *Elector) retire(now timekeeper.Millis) {
+	if e.leaving || !e.registered() || now < e.retireDue || !e.firstLive(now) {
+		return
+	}
+	e.retireDue = now + e.settings.Beat
+	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
+		host, row := e.hosts[name], e.rows[hostPrefix+name]
+		if name == e.settings.Self.Name {
+			continue
+		}
+		if !host.Retired {
+			if seen, found := e.beats[name]; found && now-seen.at > 2*e.settings.Takeover {
+				host.Retired = true
+				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(now-seen.at)))
+				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result) {})
+			}
+			continue
+		}
+		marked := e.retired[name]
+		if marked.version != row.Version {
+			e.retired[name] = retirement{version: row.Version, at: now}
+			continue
+		}
+		if now-marked.at > e.settings.Lease+e.settings.Slack {
+			e.log("registration deleted", observer.F("host", name))
+			delete(e.retired, name)
+			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result) {})
+		}
+	}
+}
+
+// firstLive reports whether no live daemon comes before this one by name.
+func (e *Elector) firstLive(now timekeeper.Millis) bool {
+	for name := range e.hosts {
+		if name < e.settings.Self.Name && e.live(now, name) {
+			return false
+		}
+	}
+	return true
+}
--- a/elector/row.go
+++ b/elector/row.go
@@ -67,6 +67,9 @@
 	Domain      string `json:"domain"`
 	// Address takes other daemons.
 	Address string `json:"address"`
+	// Retired says that the daemon gives no sign of life. One that lives registers
+	// again before it uses a primary.
+	Retired bool `json:"retired,omitempty"`
 }
 
 // Beat is a daemon's sign of life.
--- /dev/null
+++ b/proxier/cache.go
@@ -0,0 +1,137 @@
+package proxier
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heatherhall/heatherhall/detourer"
+	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// cache holds a daemon's last readings of the store for the other daemons of its
+// failure domain, so that few daemons ask the store itself.
+type cache struct {
+	clock timekeeper.Clock
+	// limit is the greatest age of a reading that is shared.
+	limit timekeeper.Millis
+
+	mu     sync.Mutex
+	tables map[Table]*reading
+}
+
+// reading is the last reading of one table.
+type reading struct {
+	rows    map[string]elector.Row
+	version int64
+	// number rises with each change of the rows.
+	number int64
+	// readAt is when the table was last asked for whole.
+	readAt timekeeper.Millis
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+func newCache(clock timekeeper.Clock, limit timekeeper.Millis) *cache {
+	return &cache{clock: clock, limit: limit, tables: map[Table]*reading{}}
+}
+
+func (c *cache) reading(table Table) *reading {
+	r := c.tables[table]
+	if r == nil {
+		// Numbers of an earlier run of the daemon are lower.
+		r = &reading{number: int64(c.clock.Now()) << numberBits, changed: make(chan struct{})}
+		c.tables[table] = r
+	}
+	return r
+}
+
+// numberBits leaves room for changes within a millisecond of the start.
+const numberBits = 16
+
+// set takes a whole reading that was asked for at a time.
+func (c *cache) set(table Table, rows Rows, asked timekeeper.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.reading(table)
+	if rows.Version < r.version {
+		return
+	}
+	fresh := make(map[string]elector.Row, len(rows.Rows))
+	for _, row := range rows.Rows {
+		fresh[row.Key] = row
+	}
+	same := maps.EqualFunc(r.rows, fresh, func(a, b elector.Row) bool { return a.Version == b.Version && bytes.Equal(a.Value, b.Value) })
+	r.version, r.readAt = rows.Version, max(r.readAt, asked)
+	if r.rows == nil || !same {
+		r.replace(fresh)
+	}
+}
+
+// apply takes rows that changed since the last reading.
+func (c *cache) apply(table Table, rows Rows) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.reading(table)
+	if r.rows == nil || len(rows.Rows) == 0 {
+		return
+	}
+	next := maps.Clone(r.rows)
+	for _, row := range rows.Rows {
+		if row.Version <= next[row.Key].Version {
+			continue
+		}
+		next[row.Key] = row
+		if row.Deleted {
+			delete(next, row.Key)
+		}
+	}
+	r.version = max(r.version, rows.Version)
+	r.replace(next)
+}
+
+func (r *reading) replace(rows map[string]elector.Row) {
+	r.rows = rows
+	r.number++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// share answers another daemon: at once, or when the rows are not those that it
+// has any more.
+func (c *cache) share(ctx context.Context, q detourer.Question) (detourer.Shared, error) {
+	begun := c.clock.Now()
+	c.mu.Lock()
+	r := c.reading(Table(q.Table))
+	changed, wait := r.changed, q.After == r.number && q.Wait > 0
+	c.mu.Unlock()
+	if wait {
+		select {
+		case <-ctx.Done():
+			return detourer.Shared{}, ctx.Err()
+		case <-changed:
+		case <-time.After(min(q.Wait, shareWait).Duration()):
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	age := now - r.readAt
+	if r.rows == nil || age > c.limit {
+		return detourer.Shared{}, &Error{Op: "share", Kind: KindOld, Text: "the last reading is too old"}
+	}
+	shared := detourer.Shared{Version: r.version, Number: r.number, Age: age, Held: now - begun, Same: q.After == r.number}
+	if !shared.Same {
+		for _, key := range slices.Sorted(maps.Keys(r.rows)) {
+			shared.Rows = append(shared.Rows, r.rows[key])
+		}
+	}
+	return shared, nil
+}
+
+// shareWait is the longest that another daemon's question is held.
+const shareWait timekeeper.Millis = 10_000
--- a/proxier/node.go
+++ b/proxier/node.go
@@ -33,7 +33,7 @@
 
 // setServers takes the registrations that were read.
 func (n *node) setServers(now timekeeper.Millis, read []cataloger.Server) ([]multiplexer.Command, []elector.Command) {
-	servers := n.registry.merge(now, read, storeGap, n.settings.Silence)
+	servers := n.registry.merge(now, read, n.settings.Silence)
 	out := n.mux.SetServers(now, servers)
 	more, rest := n.settle(now, n.elector.SetServers(now, servers))
 	return append(out, more...), rest
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -46,7 +46,7 @@
 
 // DefaultIntervals returns the times that settings start from.
 func DefaultIntervals() Intervals {
-	return Intervals{Servers: 2000, Rows: 4000, Feed: 2500, Call: 700, Retry: 150}
+	return Intervals{Servers: 2000, Rows: 1500, Feed: 2500, Call: 700, Retry: 150}
 }
 
 // DefaultSettings returns the settings of a daemon on a host.
@@ -76,6 +76,7 @@
 	// failedAt is when the own path to the store failed last; 0 if it works.
 	failedAt timekeeper.Millis
 	detourer *detourer.Detourer
+	cache    *cache
 }
 
 // worker is the goroutine of one connection to a backend server.
@@ -91,6 +92,7 @@
 		links: map[pooler.Conn]*worker{}, sessions: map[uint64]*Session{}, depends: map[string]bool{},
 		reread: make(chan struct{}, 1), check: make(chan struct{}, 1), ctx: context.Background(),
 	}
+	p.cache = newCache(clock, shareAge)
 	p.detourer = detourer.New(settings.Host.Address, net.Dialer{})
 	p.detourer.AddPeers(settings.Seeds)
 	p.node = newNode(settings, multiplexer.Deps{Log: log.Decide, Count: metrics.Count}, elector.Deps{Log: log.Decide})
--- a/proxier/registry.go
+++ b/proxier/registry.go
@@ -5,38 +5,38 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// registry keeps backend servers whose registrations lapsed while the store was
-// away, until those that live have had time to register again.
+// registry keeps backend servers whose registrations are missing for a while:
+// registrations lapse while the store is away, and those that live register again
+// after its return.
 type registry struct {
 	servers map[string]cataloger.Server
-	// readAt is when the registrations were read last, and returned when they
-	// were first read after the store had been away.
-	readAt, returned timekeeper.Millis
+	// missing is since when registrations have been missing.
+	missing map[string]timekeeper.Millis
 }
 
-// merge takes the registrations that were read and returns those that hold. gap
-// is how long no reading makes the store count as away, and silence how long
-// after its return missing ones are kept.
-func (r *registry) merge(now timekeeper.Millis, read []cataloger.Server, gap, silence timekeeper.Millis) []cataloger.Server {
-	if r.readAt > 0 && now-r.readAt > gap {
-		r.returned = now
-	}
-	r.readAt = now
+// merge takes the registrations that were read and returns those that hold.
+// silence is how long a missing one is kept.
+func (r *registry) merge(now timekeeper.Millis, read []cataloger.Server, silence timekeeper.Millis) []cataloger.Server {
 	fresh := make(map[string]cataloger.Server, len(read))
+	out := make([]cataloger.Server, 0, len(read))
 	for _, s := range read {
 		fresh[s.ID] = s
+		out = append(out, s)
 	}
-	if r.returned > 0 && now-r.returned < silence {
-		for id, s := range r.servers {
-			if _, present := fresh[id]; !present {
-				fresh[id] = s
-			}
+	missing := map[string]timekeeper.Millis{}
+	for id, s := range r.servers {
+		if _, present := fresh[id]; present {
+			continue
+		}
+		since, known := r.missing[id]
+		if !known {
+			since = now
+		}
+		if now-since < silence {
+			missing[id], fresh[id] = since, s
+			out = append(out, s)
 		}
 	}
-	r.servers = fresh
-	out := make([]cataloger.Server, 0, len(fresh))
-	for _, s := range fresh {
-		out = append(out, s)
-	}
+	r.servers, r.missing = fresh, missing
 	return out
 }
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -26,8 +26,8 @@
 	// feedSlack is how much longer than asked for an answer to a question for
 	// changes may take.
 	feedSlack timekeeper.Millis = 700
-	// storeGap is how long no reading makes the store count as away.
-	storeGap timekeeper.Millis = 2500
+	// shareAge is the greatest age of a reading that other daemons are given.
+	shareAge timekeeper.Millis = 4500
 )
 
 // Run runs the daemon until ctx ends and its goroutines have ended. Other daemons
@@ -103,13 +103,30 @@
 	}
 }
 
-// scan reads a table whole within the time limit of a call.
+// reader returns the address of the daemon of this failure domain that reads the
+// store for the others; empty where that is this daemon.
+func (p *Proxy) reader() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.elector.Reader(p.clock.Now())
+}
+
+// scan reads a table whole within the time limit of a call: from the memory of
+// the domain's reader, or from the store. It returns when the store was asked.
 func (p *Proxy) scan(ctx context.Context, table Table, name string) (Rows, timekeeper.Millis, error) {
 	call, cancel := p.call(ctx)
 	defer cancel()
 	asked := p.clock.Now()
+	if reader := p.reader(); reader != "" {
+		if shared, err := p.detourer.Share(call, reader, detourer.Question{Table: int(table)}); err == nil {
+			return Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(asked), nil
+		}
+	}
 	rows, err := p.read(call, table)
 	p.dependency(name, err)
+	if err == nil {
+		p.cache.set(table, rows, asked)
+	}
 	return rows, asked, err
 }
 
@@ -163,45 +180,95 @@
 	}
 }
 
-// feed follows a table's changes after a first reading. Where changes are no
-// longer known it reads the table again.
-func (p *Proxy) feed(ctx context.Context, table Table, name string, whole func(Rows, timekeeper.Millis), changed func(Rows)) {
-	version := int64(0)
+// follower is what a daemon does with the readings of one table.
+type follower struct {
+	table Table
+	name  string
+	// whole takes all rows, and when the store was asked for them.
+	whole func(rows Rows, asked timekeeper.Millis)
+	// changed takes rows that changed.
+	changed func(rows Rows)
+	// confirmed takes that no row had changed when the store was asked.
+	confirmed func(asked timekeeper.Millis)
+}
+
+// feed follows a table's changes after a first reading, through the domain's
+// reader where that answers. Where changes are no longer known it reads the
+// table again.
+func (p *Proxy) feed(ctx context.Context, f follower) {
+	version, number := int64(0), int64(0)
 	p.every(ctx, 0, func() error {
+		if next, ok := p.feedShared(ctx, f, number); ok {
+			version, number = 0, next
+			return nil
+		}
+		number = 0
 		if version == 0 {
-			rows, asked, err := p.scan(ctx, table, name)
+			rows, asked, err := p.scan(ctx, f.table, f.name)
 			if err != nil {
 				return err
 			}
-			whole(rows, asked)
+			f.whole(rows, asked)
 			version = rows.Version
 			return nil
 		}
 		call, cancel := context.WithTimeout(ctx, (p.settings.Intervals.Feed + feedSlack).Duration())
 		defer cancel()
-		rows, err := p.seams.Feed(call, table, version, p.settings.Intervals.Feed)
-		p.dependency(name+" feed", err)
+		rows, err := p.seams.Feed(call, f.table, version, p.settings.Intervals.Feed)
+		p.dependency(f.name+" feed", err)
 		if err != nil {
 			version = 0
 			return err
 		}
+		p.cache.apply(f.table, rows)
 		if len(rows.Rows) > 0 {
-			changed(rows)
+			f.changed(rows)
 		}
 		version = max(version, rows.Version)
 		return nil
 	})
 }
 
+// feedShared waits for the domain's reader to have another reading than the one
+// of the given number. It reports false where there is none or it fails.
+func (p *Proxy) feedShared(ctx context.Context, f follower, number int64) (int64, bool) {
+	reader := p.reader()
+	if reader == "" {
+		return 0, false
+	}
+	asked := p.clock.Now()
+	shared, err := p.detourer.Share(ctx, reader, detourer.Question{Table: int(f.table), After: number, Wait: p.settings.Intervals.Feed})
+	if err != nil {
+		return 0, false
+	}
+	if shared.Same {
+		f.confirmed(shared.ReadAt(asked))
+		return number, true
+	}
+	f.whole(Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(asked))
+	return shared.Number, true
+}
+
 func (p *Proxy) feedCatalog(ctx context.Context) {
-	p.feed(ctx, TableCatalog, "store: catalog", func(rows Rows, _ timekeeper.Millis) { p.setCatalog(rows.Rows) }, func(rows Rows) { p.setCatalog(rows.Rows) })
+	p.feed(ctx, follower{
+		table: TableCatalog, name: "store: catalog",
+		whole:     func(rows Rows, _ timekeeper.Millis) { p.setCatalog(rows.Rows) },
+		changed:   func(rows Rows) { p.setCatalog(rows.Rows) },
+		confirmed: func(timekeeper.Millis) {},
+	})
 }
 
 func (p *Proxy) feedRows(ctx context.Context) {
-	p.feed(ctx, TableOwn, "store: rows", p.setRows, func(rows Rows) {
-		p.elect(func(now timekeeper.Millis) []elector.Command {
-			return p.elector.ChangeRows(now, rows.Rows, rows.Version)
-		})
+	p.feed(ctx, follower{
+		table: TableOwn, name: "store: rows", whole: p.setRows,
+		changed: func(rows Rows) {
+			p.elect(func(now timekeeper.Millis) []elector.Command {
+				return p.elector.ChangeRows(now, rows.Rows, rows.Version)
+			})
+		},
+		confirmed: func(asked timekeeper.Millis) {
+			p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Confirm(now, asked) })
+		},
 	})
 }
 
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -25,6 +25,7 @@
 			rows, err := p.seams.Scan(ctx, Table(table))
 			return detourer.Rows(rows), err
 		},
+		Share: p.cache.share,
 		Transact: func(ctx context.Context, change detourer.Change) elector.Result {
 			return p.seams.Transact(ctx, Table(change.Table), change.Transaction)
 		},
@@ -47,8 +48,8 @@
 	}
 }
 
-// reading is what a path to the store gave.
-type reading struct {
+// outcome is what a path to the store gave.
+type outcome struct {
 	rows Rows
 	err  error
 }
@@ -56,10 +57,10 @@
 // read reads a table on the own path, and through another daemon where that
 // fails or takes long.
 func (p *Proxy) read(ctx context.Context, table Table) (Rows, error) {
-	own, other := make(chan reading, 1), make(chan reading, 1)
+	own, other := make(chan outcome, 1), make(chan outcome, 1)
 	go func() {
 		rows, err := p.seams.Scan(ctx, table)
-		own <- reading{rows, err}
+		own <- outcome{rows, err}
 	}()
 	wait := p.settings.Intervals.Call.Duration() / directShare
 	if p.lost() {
@@ -70,7 +71,7 @@
 	detour := func() {
 		go func() {
 			rows, err := p.detourer.Scan(ctx, int(table))
-			other <- reading{Rows(rows), err}
+			other <- outcome{Rows(rows), err}
 		}()
 	}
 	asked, failed := false, 0
