Keep less urgent work out of the servers' own queues

Cause: a server's queue knows no ranks, so that urgent work waited behind all that daemons had sent there; in a test of browsing that floods one server the slowest urgent read took 196 ms.

Change: together the daemons fill a server's slots at most twice with less urgent work; the rest waits in the daemons, by rank.

Tests of eight more patterns of load, each red without its mechanism.

--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -290,11 +290,11 @@
 	return sequencer.Max(floor, sample), known
 }
 
-func (g *group) candidates(now timekeeper.Millis) []router.Candidate {
+func (g *group) candidates(now timekeeper.Millis, rank scheduler.Rank) []router.Candidate {
 	g.scratch = g.scratch[:0]
 	lead := g.leadServer(now)
 	for _, s := range g.servers {
-		c := s.candidate(now, g, g.isLead(s))
+		c := s.candidate(now, g, rank, g.isLead(s))
 		if g.isLead(s) && s != lead {
 			c.Usable = false
 		}
@@ -310,7 +310,7 @@
 		return false
 	}
 	need := router.Need{Floor: floor, History: g.lead.History}
-	for _, c := range g.candidates(now) {
+	for _, c := range g.candidates(now, rankOf(j.database)) {
 		if c.Usable && !c.Primary && !j.lagged[c.Name] && need.Covers(c) {
 			return true
 		}
@@ -324,12 +324,12 @@
 	j.floor = floor
 	if j.lane == scheduler.LanePrimary {
 		s := g.leadServer(now)
-		if s == nil || now < s.fullUntil || s.free(g.mux.share(g)) < 1 || !s.pool.Ready(rankOf(j.database)) {
+		if s == nil || now < s.fullUntil || s.free(g, rankOf(j.database)) < 1 || !s.pool.Ready(rankOf(j.database)) {
 			return nil
 		}
 		return s
 	}
-	candidates := g.candidates(now)
+	candidates := g.candidates(now, rankOf(j.database))
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Primary && (!known || j.lagged[c.Name]) || !g.servers[i].pool.Ready(rankOf(j.database)) {
--- /dev/null
+++ b/multiplexer/load_test.go
@@ -0,0 +1,229 @@
+package multiplexer
+
+import (
+	"testing"
+
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+var (
+	aRead  = Statement{ID: "r", Kind: KindRead, Args: "x"}
+	aWrite = Statement{ID: "w", Kind: KindWrite, Args: "x y"}
+)
+
+// TestBrowseFlood answers the pattern of many browsing reads far beyond what the
+// servers can run: urgent work stays quick, and browsing keeps some service.
+func TestBrowseFlood(t *testing.T) {
+	b := newBed(t, 15)
+	b.run(200)
+	var urgent, standard, browse tally
+	b.stream("urgent", aRead, 20, 5000, &urgent)
+	b.stream("standard", aRead, 20, 5000, &standard)
+	b.stream("browse", aRead, 1, 5000, &browse)
+	b.run(8000)
+	if urgent.served != 250 || urgent.slowest > 150 {
+		t.Errorf("urgent: %+v, want all of 250 served within 150 ms", urgent)
+	}
+	if standard.served < 240 {
+		t.Errorf("standard: %+v, want 240 of 250 served", standard)
+	}
+	if browse.served < 500 {
+		t.Errorf("browse: %+v, want a tenth of 5000 served", browse)
+	}
+	if browse.served+browse.refused+browse.failed != 5000 || browse.failed > 0 {
+		t.Errorf("browse: %+v, want each of 5000 served or refused", browse)
+	}
+}
+
+// TestFloodOnOneServer answers the pattern of browsing that floods the only server
+// that is left: urgent work goes first, so that an operation of two statements
+// keeps an objective of 200 ms, and browsing keeps a share.
+func TestFloodOnOneServer(t *testing.T) {
+	b := newBed(t, 30)
+	b.servers["s1"].down, b.servers["s2"].down = true, true
+	b.run(2000)
+	var urgent, browse tally
+	b.stream("urgent", aRead, 100, 5000, &urgent)
+	b.stream("browse", aRead, 5, 5000, &browse)
+	b.run(8000)
+	if urgent.served != 50 || urgent.slowest > 100 {
+		t.Errorf("urgent: %+v, want all of 50 served within 100 ms", urgent)
+	}
+	if browse.served < 100 {
+		t.Errorf("browse: %+v, want a tenth of 1000 served", browse)
+	}
+}
+
+// TestDarkPrimary answers the pattern of a primary that stops answering: work
+// that needs it is refused at once as soon as that is known, and reads go on.
+func TestDarkPrimary(t *testing.T) {
+	b := newBed(t, 10)
+	var before, urgent, browse tally
+	b.stream("urgent", aWrite, 20, 400, &before)
+	b.run(500)
+	b.servers["s0"].down = true
+	var finding tally
+	b.stream("urgent", aWrite, 50, 1000, &finding)
+	b.run(1000)
+	b.stream("urgent", aWrite, 20, 300, &urgent)
+	b.stream("browse", aRead, 20, 300, &browse)
+	b.run(1500)
+	if urgent.refused != 15 || urgent.slowestRefusal > 0 {
+		t.Errorf("urgent: %+v, want 15 refused at once", urgent)
+	}
+	if browse.served == 0 {
+		t.Errorf("browse: %+v, want reads served by replicas while samples are young", browse)
+	}
+}
+
+// TestChangeThatOverruns answers the pattern of a daemon that was told of a change
+// of primary and of nothing since: no work may wait for it until its time limit.
+func TestChangeThatOverruns(t *testing.T) {
+	b := newBed(t, 10)
+	b.run(200)
+	b.lead("s0", 1, true)
+	var urgent tally
+	b.stream("urgent", aWrite, 100, 1000, &urgent)
+	b.run(3000)
+	if urgent.refused != 10 || urgent.slowestRefusal > 0 {
+		t.Errorf("urgent: %+v, want 10 refused at once", urgent)
+	}
+}
+
+// TestReplicaThatCaughtUp answers the pattern of a replica that lagged far behind
+// for a while: it takes its part of the reads again soon after.
+func TestReplicaThatCaughtUp(t *testing.T) {
+	b := newBed(t, 10)
+	commit := func() {
+		b.servers["s0"].applied++
+	}
+	for at := timekeeper.Millis(0); at < 12_000; at += 50 {
+		b.after(at, commit)
+		b.after(at+5, func() {
+			for _, id := range []string{"s1", "s2"} {
+				if b.now > 6000 || id == "s1" {
+					b.servers[id].applied = b.servers["s0"].applied
+				}
+			}
+		})
+	}
+	var writes, reads tally
+	b.stream("urgent", aRead, 20, 12_000, &writes)
+	b.stream("standard", aRead, 7, 12_000, &reads)
+	b.run(7000)
+	ran := b.servers["s2"].ran
+	b.run(3000)
+	if got := b.servers["s2"].ran - ran; got < 40 {
+		t.Errorf("the replica ran %d reads in 3 s after it caught up, want 40 or more", got)
+	}
+	if reads.failed > 0 {
+		t.Errorf("reads: %+v", reads)
+	}
+}
+
+// TestIdleConnections answers the pattern of a burst that is over: connections
+// beyond the warm ones are closed, so that a server's limit holds those of
+// daemons that come back while it still counts the lost ones.
+func TestIdleConnections(t *testing.T) {
+	b := newBed(t, 20)
+	var burst tally
+	b.stream("browse", aRead, 2, 600, &burst)
+	b.run(700)
+	most := 0
+	for _, s := range b.servers {
+		most = max(most, s.open)
+	}
+	if most < 3 {
+		t.Errorf("%d connections in the burst, want the test to open 3", most)
+	}
+	b.run(4000)
+	for _, s := range b.servers {
+		if s.open > warm {
+			t.Errorf("%s: %d connections are open when idle, want %d", s.id, s.open, warm)
+		}
+	}
+}
+
+// TestLostAnswers answers the pattern of a server that runs reads and loses their
+// answers while it answers others: the reads are answered by another server.
+func TestLostAnswers(t *testing.T) {
+	b := newBed(t, 8)
+	var first, reads tally
+	b.stream("urgent", aRead, 20, 400, &first)
+	b.run(500)
+	b.after(0, func() { b.servers["s1"].mute = true })
+	b.after(400, func() { b.servers["s1"].mute = false })
+	b.stream("urgent", aRead, 20, 900, &first)
+	b.stream("browse", aRead, 25, 900, &reads)
+	b.run(3000)
+	if reads.served != 36 || reads.slowest > 450 {
+		t.Errorf("reads: %+v, want all of 36 served within 450 ms", reads)
+	}
+}
+
+// TestCutOffDaemon answers the pattern of a failure domain that is cut off while
+// callers still reach it: the daemon leaves the balancer's rotation, ends idle
+// sessions, and comes back when the cut heals.
+func TestCutOffDaemon(t *testing.T) {
+	b := newBed(t, 10)
+	b.run(300)
+	if !b.m.Ready() {
+		t.Fatal("not ready on a calm day")
+	}
+	for i := range 5 {
+		b.m.Connect(uint64(1000+i), "urgent", "idle")
+	}
+	for _, s := range b.servers {
+		s.down = true
+	}
+	var work tally
+	b.stream("urgent", aWrite, 50, 1500, &work)
+	b.run(1500)
+	if !b.m.Ready() {
+		t.Error("not ready although the store answers: the primaries are lost, not the daemon")
+	}
+	b.m.SetStore(b.now, true)
+	b.run(100)
+	if b.m.Ready() {
+		t.Error("ready although neither store nor primaries answer")
+	}
+	b.run(4000)
+	if b.hungUp < 5 {
+		t.Errorf("%d idle sessions were ended, want 5", b.hungUp)
+	}
+	for _, s := range b.servers {
+		s.down = false
+	}
+	b.m.SetStore(b.now, false)
+	b.run(2000)
+	if !b.m.Ready() {
+		t.Error("not ready after the cut healed")
+	}
+}
+
+// TestIdleTransaction answers the pattern of callers that rest inside
+// transactions: their connections come back after the limit.
+func TestIdleTransaction(t *testing.T) {
+	b := newBed(t, 5)
+	b.run(200)
+	for i := range 3 {
+		id := uint64(500 + i)
+		b.m.Connect(id, "urgent", "rests")
+		b.carry(b.m.Run(b.now, id, Statement{ID: "b", Kind: KindBegin}))
+		b.carry(b.m.Run(b.now, id, aWrite))
+		b.run(50)
+	}
+	var blocked, after tally
+	b.run(3500)
+	b.stream("urgent", aWrite, 20, 400, &after)
+	b.run(1000)
+	if after.served != 20 {
+		t.Errorf("after the limit: %+v, blocked %+v, want 20 served", after, blocked)
+	}
+	var answer Answer
+	b.pending[500] = func(a Answer) { answer = a }
+	b.carry(b.m.Run(b.now, 500, aWrite))
+	if answer.Code != CodeMalformed || answer.State != StateFailed {
+		t.Errorf("a statement after the limit: %+v, want it refused in a failed transaction", answer)
+	}
+}
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -4,6 +4,7 @@
 	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/router"
+	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
@@ -14,6 +15,9 @@
 	serviceGuess = 10.0
 	// smoothing is the weight of a new measurement in moving averages.
 	smoothing = 0.1
+	// queueFactor is how many times a server's slots less urgent work of all
+	// daemons together may fill: twice keeps the slots busy between answers.
+	queueFactor = 2
 	// silentFactor is how many times Overdue a server may tell nothing while answers
 	// are outstanding.
 	silentFactor = 3
@@ -97,12 +101,18 @@
 	return s.leavingSince == 0 || now < s.leavingSince+forget
 }
 
-// free returns how many more statements the server takes from this daemon.
-func (s *server) free(share int) int {
-	return share - s.running
+// free returns how many more statements of a rank the server takes from this
+// daemon. Its own queue knows no ranks: less urgent work is kept back here while
+// it would fill that queue.
+func (s *server) free(g *group, rank scheduler.Rank) int {
+	limit := g.mux.share(g)
+	if rank > scheduler.RankUrgent {
+		limit = min(limit, max(1, (queueFactor*max(s.Slots, 1)+g.mux.hosts-1)/g.mux.hosts))
+	}
+	return limit - s.running
 }
 
-func (s *server) candidate(now timekeeper.Millis, g *group, lead bool) router.Candidate {
+func (s *server) candidate(now timekeeper.Millis, g *group, rank scheduler.Rank, lead bool) router.Candidate {
 	settings := g.mux.settings
 	distance := farDistance
 	if s.Domain == settings.Domain {
@@ -116,7 +126,7 @@
 		Name:     s.ID,
 		Primary:  lead,
 		Usable:   usable,
-		Free:     s.free(g.mux.share(g)),
+		Free:     s.free(g, rank),
 		Running:  s.running,
 		Service:  s.service,
 		Distance: distance,
