--- a/cmd/heatherhall-edge/main.go
+++ b/cmd/heatherhall-edge/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -11,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/heatherhall/heatherhall/explainer"
 	"github.com/heatherhall/heatherhall/platform"
 )
 
@@ -27,6 +29,11 @@
 				Name: "settings", Usage: "the daemon's settings in `FILE`", Value: "heatherhall.json", Sources: cli.EnvVars("HEATHERHALL_CONFIG"),
 			}},
 			Action: serve,
+		}, {
+			Name:      "explain",
+			Usage:     "tell the story of a request from daemons' logs, read from files or standard input",
+			ArgsUsage: "REQUEST [FILE...]",
+			Action:    explain,
 		}},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
@@ -48,3 +55,27 @@
 	}()
 	return platform.Serve(ctx, c.String("settings"), reload, os.Stdout)
 }
+
+func explain(_ context.Context, c *cli.Command) error {
+	request := c.Args().First()
+	if request == "" {
+		return cli.Exit("want a request's id, see `heatherhall-edge explain --help`", 1)
+	}
+	logs := []io.Reader{os.Stdin}
+	if paths := c.Args().Slice()[1:]; len(paths) > 0 {
+		logs = nil
+		for _, path := range paths {
+			file, err := os.Open(path)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = file.Close() }() // it was only read
+			logs = append(logs, file)
+		}
+	}
+	found, err := explainer.Explain(os.Stdout, request, logs...)
+	if err == nil && found == 0 {
+		return fmt.Errorf("no line on request %s: another daemon may have taken it, or lines were dropped", request)
+	}
+	return err
+}
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -332,6 +332,10 @@
 	if a.Code != CodeLagging {
 		g.budget--
 	}
+	g.mux.deps.Log(Decision{Part: "request", Request: j.statement.ID, Outcome: "tried again", Inputs: []observer.Field{
+		observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("attempts", j.attempts), observer.F("floor", j.floor.String()),
+		observer.F("position", a.Position.String()), observer.F("lag", int64(s.lag)), observer.F("budget", int(g.budget)), observer.F("left", int64(j.due-now)),
+	}})
 	j.conn = nil
 	g.place(now, j)
 }
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -43,3 +43,37 @@
 	m.outcomes.WithLabelValues(code.String(), rank.String()).Inc()
 	m.latencies.WithLabelValues(rank.String()).Observe(float64(took) / 1000)
 }
+
+// gauge adds a gauge whose value is read when asked for.
+func (m *Metrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// gauges adds what the daemon holds and believes.
+func (p *Proxy) gauges() {
+	locked := func(value func() float64) func() float64 {
+		return func() float64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return value()
+		}
+	}
+	p.metrics.gauge("heatherhall_sessions", "Callers' open sessions.", locked(func() float64 { return float64(p.mux.Sessions()) }))
+	p.metrics.gauge("heatherhall_statements_waiting", "Statements that wait or run.", locked(func() float64 { return float64(p.mux.Waiting()) }))
+	p.metrics.gauge("heatherhall_server_connections", "Connections to backend servers.", locked(func() float64 { return float64(len(p.links)) }))
+	p.metrics.gauge("heatherhall_catalog_version", "Version of the catalog in force.", locked(func() float64 { return float64(p.mux.Version()) }))
+	p.metrics.gauge("heatherhall_hosts", "Daemons that share the servers' connections.", locked(func() float64 { return float64(p.elector.Hosts(p.clock.Now())) }))
+	p.metrics.gauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
+		if p.mux.Ready() {
+			return 1
+		}
+		return 0
+	}))
+	p.metrics.gauge("heatherhall_authority_seconds", "Shortest time for which a group's primary may be used yet.", locked(func() float64 {
+		now, least := p.clock.Now(), p.settings.Elector.Lease
+		for _, lead := range p.elector.Leads(now) {
+			least = min(least, max(lead.Until-now, 0))
+		}
+		return float64(least) / 1000
+	}))
+}
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -95,6 +95,7 @@
 	p.cache = newCache(clock, shareAge)
 	p.detourer = detourer.New(settings.Host.Address, net.Dialer{})
 	p.detourer.AddPeers(settings.Seeds)
+	p.gauges()
 	p.node = newNode(settings, multiplexer.Deps{Log: log.Decide, Count: metrics.Count}, elector.Deps{Log: log.Decide})
 	return p
 }
