Two connections to a server for each daemon at least, none idle where they don't fit

Change: a share is two at least; the server refuses what is beyond its limit unrun. Where a limit is below two a daemon, none stays open when idle.

--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -104,7 +104,7 @@
 		if s == nil {
 			s = &server{
 				service: serviceGuess, lag: lagGuess, conns: map[pooler.Conn]*conn{},
-				pool: pooler.New(1<<16, warm, g.mux.nextConn).WithIdleLimit(idleLimit),
+				pool: pooler.New(1<<16, g.mux.warm(g), g.mux.nextConn).WithIdleLimit(idleLimit),
 			}
 			s.pool.SetShare(g.mux.share(g))
 			g.byID[described.ID] = s
@@ -382,21 +382,17 @@
 	}
 }
 
-const (
-	// warm is how many idle connections are kept to each server ahead of need.
-	warm = 1
-	// idleLimit is how long other connections stay idle. A server counts those
-	// of a daemon that lost power for some seconds, and its limit must hold the
-	// new ones beside them.
-	idleLimit timekeeper.Millis = 2000
-)
+// idleLimit is how long connections beyond the warm ones stay idle. A server
+// counts those of a daemon that lost power for some seconds, and its limit must
+// hold the new ones beside them.
+const idleLimit timekeeper.Millis = 2000
 
 // demand is how many idle connections a server should have.
 func (g *group) demand(s *server) int {
 	if s.silent {
 		return 1
 	}
-	demand := warm + g.queue.Waiting(scheduler.LaneAny)
+	demand := g.mux.warm(g) + g.queue.Waiting(scheduler.LaneAny)
 	if g.isLead(s) {
 		demand += g.queue.Waiting(scheduler.LanePrimary)
 	}
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -138,8 +138,8 @@
 	}
 	b.run(4000)
 	for _, s := range b.servers {
-		if s.open > warm {
-			t.Errorf("%s: %d connections are open when idle, want %d", s.id, s.open, warm)
+		if s.open > 1 {
+			t.Errorf("%s: %d connections are open when idle, want 1", s.id, s.open)
 		}
 	}
 }
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -133,19 +133,39 @@
 	for _, g := range m.groups {
 		for _, s := range g.servers {
 			s.pool.SetShare(m.share(g))
+			s.pool.SetWarm(m.warm(g))
 		}
 	}
 }
 
+// leastShare is how many connections a daemon may have to a server however many
+// daemons there are: one may be pinned by a transaction that rests. Few daemons
+// need both at once, and a server refuses what is beyond its limit unrun.
+const leastShare = 2
+
 // share is how many connections this daemon may have to each server of a group.
 func (m *Multiplexer) share(g *group) int {
 	described, found := m.catalog.Group(g.name)
 	if !found {
 		return 1
 	}
-	return max(1, (described.Connections-m.settings.Spare)/m.hosts)
+	return max(leastShare, (described.Connections-m.settings.Spare)/m.hosts)
+}
+
+// warm is how many idle connections are kept to each server of a group: none
+// where those of all daemons would not fit.
+func (m *Multiplexer) warm(g *group) int {
+	described, found := m.catalog.Group(g.name)
+	if !found || described.Connections < warmFactor*m.hosts {
+		return 0
+	}
+	return 1
 }
 
+// warmFactor is how many connections for each daemon a server's limit must hold
+// for one of them to stay open when idle.
+const warmFactor = 2
+
 // SetServers replaces the list of backend servers.
 func (m *Multiplexer) SetServers(now timekeeper.Millis, servers []cataloger.Server) []Command {
 	byGroup := map[string][]cataloger.Server{}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -61,6 +61,11 @@
 	p.share = min(max(share, 1), p.limit)
 }
 
+// SetWarm sets how many idle connections are kept ahead of need.
+func (p *Pool) SetWarm(warm int) {
+	p.warm = warm
+}
+
 // Size returns how many connections are open or being opened.
 func (p *Pool) Size() int {
 	return len(p.idle) + len(p.busy) + len(p.opening)
