Let leases rest on own transactions; give failing servers fewer reads; share the catalog's age

A server that failed half of its statements got 4361 of them in 6 s, and a failed read was tried there again (3000 failures). Shared readings of the catalog counted as old 4.5 s after the first, so that each daemon went back to its own feed.

Change: a reading counts from the last own transaction whose version it shows; a beat that is not confirmed is sent again. A failed read goes to another server, and a server that fails one in seven rests for 1 s after each failure. A feed's answer makes the catalog's reading younger.

--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -178,6 +178,7 @@
 
 // observe learns from the answer to a statement that the primary may have run.
 func (g *group) observe(now timekeeper.Millis, j *job, s *server, a Answer) {
+	s.judge(now, a.Code == CodeFailed)
 	if a.Code == CodeOK {
 		s.measure(now - j.sent)
 		rank := rankOf(j.database)
@@ -310,11 +311,11 @@
 		return
 	}
 	switch a.Code {
-	case CodeLagging:
-		if j.lagged == nil {
-			j.lagged = map[string]bool{}
+	case CodeLagging, CodeFailed, CodeTimeout:
+		if j.avoided == nil {
+			j.avoided = map[string]bool{}
 		}
-		j.lagged[s.ID] = true
+		j.avoided[s.ID] = true
 	case CodeNotRun:
 		s.fullUntil = now + fullPause
 	case CodeReadOnly:
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -311,7 +311,7 @@
 	}
 	need := router.Need{Floor: floor, History: g.lead.History}
 	for _, c := range g.candidates(now, rankOf(j.database)) {
-		if c.Usable && !c.Primary && !j.lagged[c.Name] && need.Covers(c) {
+		if c.Usable && !c.Primary && !j.avoided[c.Name] && need.Covers(c) {
 			return true
 		}
 	}
@@ -324,7 +324,7 @@
 	j.floor = floor
 	if j.lane == scheduler.LanePrimary {
 		s := g.leadServer(now)
-		if s == nil || now < s.fullUntil || s.free(g, rankOf(j.database)) < 1 || !s.pool.Ready(rankOf(j.database)) {
+		if s == nil || now < s.fullUntil && s.failing < failingLimit || s.free(g, rankOf(j.database)) < 1 || !s.pool.Ready(rankOf(j.database)) {
 			return nil
 		}
 		return s
@@ -332,7 +332,7 @@
 	candidates := g.candidates(now, rankOf(j.database))
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Primary && (!known || j.lagged[c.Name]) || !g.servers[i].pool.Ready(rankOf(j.database)) {
+		if !c.Primary && (!known || j.avoided[c.Name]) || !g.servers[i].pool.Ready(rankOf(j.database)) {
 			c.Usable = false
 		}
 	}
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -39,8 +39,8 @@
 	conn     *conn
 	server   *server
 	floor    sequencer.Position
-	// lagged are the servers that lacked the floor.
-	lagged map[string]bool
+	// avoided are the replicas that lacked the floor or failed the statement.
+	avoided map[string]bool
 	// sent is when the caller's statement itself was sent.
 	sent timekeeper.Millis
 }
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -33,6 +33,10 @@
 	// overdueFactor is how many times the expected time of a statement must pass
 	// before its answer counts as lost.
 	overdueFactor = 8
+	// failingLimit is the part of failed statements from which a server gets fewer
+	// reads, and failingPause for how long after a failure.
+	failingLimit                   = 0.15
+	failingPause timekeeper.Millis = 1000
 	// fullPause is how long a server whose queue is full gets no more reads.
 	fullPause timekeeper.Millis = 25
 )
@@ -76,6 +80,8 @@
 	silent      bool
 	silentSince timekeeper.Millis
 	fullUntil   timekeeper.Millis
+	// failing is the part of statements that failed of late.
+	failing float64
 }
 
 // waiting returns since when an answer has been outstanding on a server that
@@ -175,6 +181,20 @@
 	}
 }
 
+// judge takes whether a statement failed. A server that fails many gets no reads
+// for a while after each failure; the reads it gets in between tell when it is
+// well again.
+func (s *server) judge(now timekeeper.Millis, failed bool) {
+	s.failing -= smoothing * s.failing
+	if !failed {
+		return
+	}
+	s.failing += smoothing
+	if s.failing > failingLimit {
+		s.fullUntil = now + failingPause
+	}
+}
+
 func (s *server) measure(took timekeeper.Millis) {
 	s.service += smoothing * (float64(took) - s.service)
 }
--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -72,12 +72,20 @@
 	}
 }
 
-// apply takes rows that changed since the last reading.
-func (c *cache) apply(table Table, rows Rows) {
+// apply takes rows that changed since the last reading, as asked for at a time.
+// Leases rest on whole readings of TableOwn alone, so that changes of it make the
+// reading no younger.
+func (c *cache) apply(table Table, rows Rows, asked timekeeper.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.reading(table)
-	if r.rows == nil || len(rows.Rows) == 0 {
+	if r.rows == nil {
+		return
+	}
+	if table != TableOwn {
+		r.readAt = max(r.readAt, asked)
+	}
+	if len(rows.Rows) == 0 {
 		return
 	}
 	next := maps.Clone(r.rows)
--- a/proxier/cache_test.go
+++ b/proxier/cache_test.go
@@ -35,7 +35,7 @@
 	if again, err := c.share(ctx, question); err != nil || !again.Same || again.Rows != nil {
 		t.Errorf("got %+v, %v, want the same reading without rows", again, err)
 	}
-	c.apply(TableOwn, Rows{Version: 8, Rows: []elector.Row{{Key: "a", Version: 8, Deleted: true}, {Key: "b", Version: 4}}})
+	c.apply(TableOwn, Rows{Version: 8, Rows: []elector.Row{{Key: "a", Version: 8, Deleted: true}, {Key: "b", Version: 4}}}, 1300)
 	changed, err := c.share(ctx, question)
 	if err != nil || changed.Same || len(changed.Rows) != 1 || changed.Rows[0].Key != "b" || changed.Rows[0].Version != 5 {
 		t.Errorf("got %+v, %v, want row b of version 5 alone", changed, err)
--- a/proxier/error.go
+++ b/proxier/error.go
@@ -3,8 +3,13 @@
 // Kind tells errors of this package apart.
 type Kind string
 
-// KindOld marks a reading that is too old to be shared.
-const KindOld Kind = "old"
+// Kinds of errors.
+const (
+	// KindOld marks a reading that is too old to be shared.
+	KindOld Kind = "old"
+	// KindStore marks a change that the store did not confirm.
+	KindStore Kind = "store"
+)
 
 // Error is the error type of this package.
 type Error struct {
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -77,6 +77,7 @@
 	failedAt timekeeper.Millis
 	detourer *detourer.Detourer
 	cache    *cache
+	proofs   proofs
 }
 
 // worker is the goroutine of one connection to a backend server.
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -27,7 +27,7 @@
 	// changes may take.
 	feedSlack timekeeper.Millis = 700
 	// shareAge is the greatest age of a reading that other daemons are given.
-	shareAge timekeeper.Millis = 4500
+	shareAge timekeeper.Millis = 7000
 )
 
 // Run runs the daemon until ctx ends and its goroutines have ended. Other daemons
@@ -124,10 +124,14 @@
 	}
 	rows, err := p.read(call, table)
 	p.dependency(name, err)
-	if err == nil {
-		p.cache.set(table, rows, asked)
+	if err != nil {
+		return rows, asked, err
+	}
+	if table == TableOwn {
+		asked = p.proofs.readAt(asked, rows.Version)
 	}
-	return rows, asked, err
+	p.cache.set(table, rows, asked)
+	return rows, asked, nil
 }
 
 // every calls f at an interval, sooner after a failure, until ctx ends.
@@ -214,13 +218,14 @@
 		}
 		call, cancel := context.WithTimeout(ctx, (p.settings.Intervals.Feed + feedSlack).Duration())
 		defer cancel()
+		asked := p.clock.Now()
 		rows, err := p.seams.Feed(call, f.table, version, p.settings.Intervals.Feed)
 		p.dependency(f.name+" feed", err)
 		if err != nil {
 			version = 0
 			return err
 		}
-		p.cache.apply(f.table, rows)
+		p.cache.apply(f.table, rows, asked)
 		if len(rows.Rows) > 0 {
 			f.changed(rows)
 		}
@@ -336,7 +341,7 @@
 			return err
 		}
 		call, cancel := p.call(ctx)
-		p.transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
+		result := p.transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
 		cancel()
 		rows, _, err := p.scan(ctx, TableBeats, "store: beats")
 		if err != nil {
@@ -353,6 +358,9 @@
 			p.elector.SetBeats(now, beats)
 			return nil
 		})
+		if result != elector.Applied {
+			return &Error{Op: "beat", Kind: KindStore, Text: result.String()}
+		}
 		return nil
 	})
 }
--- a/proxier/seams.go
+++ b/proxier/seams.go
@@ -49,8 +49,9 @@
 	// Feed waits for changes of a table after a version. An error of KindHistory
 	// means that the changes are no longer known.
 	Feed func(ctx context.Context, table Table, after int64, wait timekeeper.Millis) (Rows, error)
-	// Transact changes rows of a table if the conditions hold.
-	Transact func(ctx context.Context, table Table, tx elector.Transaction) elector.Result
+	// Transact changes rows of a table if the conditions hold. With an answer comes
+	// the store's version after the transaction.
+	Transact func(ctx context.Context, table Table, tx elector.Transaction) (result elector.Result, version int64)
 	// Catalog decodes the operators' catalog.
 	Catalog func(row elector.Row) (cataloger.Catalog, error)
 	// Server decodes a backend server's registration.
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -27,7 +27,8 @@
 		},
 		Share: p.cache.share,
 		Transact: func(ctx context.Context, change detourer.Change) elector.Result {
-			return p.seams.Transact(ctx, Table(change.Table), change.Transaction)
+			result, _ := p.seams.Transact(ctx, Table(change.Table), change.Transaction)
+			return result
 		},
 	}
 }
@@ -109,7 +110,11 @@
 			return result
 		}
 	}
-	result := p.seams.Transact(ctx, table, tx)
+	sent := p.clock.Now()
+	result, version := p.seams.Transact(ctx, table, tx)
+	if result == elector.Applied {
+		p.proofs.add(sent, version)
+	}
 	p.setLost(result == elector.Refused || result == elector.Unsure)
 	if result == elector.Refused {
 		return p.detourer.Transact(ctx, change)
