Put a handover off while a daemon is lost, and cancel one that a daemon does not answer

Change: a lost daemon's registration is marked after 7 s without a sign of life (14 before); a handover waits until it is deleted, and is cancelled after 1 s without all releases. After a time without readings of the signs of life none counts as lost.

--- a/elector/change.go
+++ b/elector/change.go
@@ -139,6 +139,13 @@
 // check looks for a successor before the primary's work is stopped.
 func (e *Elector) check(now timekeeper.Millis, g *group, reason Reason) {
 	c := &g.change
+	if lost := e.lostMember(now); lost != "" && reason == ReasonHandover {
+		// Everybody would stop using a primary that serves while the lost daemon's
+		// lease lasts. Its registration is deleted before long.
+		e.log("puts a handover off: a daemon is lost", observer.F("group", g.name), observer.F("host", lost))
+		g.change = change{due: now + e.settings.Suspect, round: c.round}
+		return
+	}
 	*c = change{stage: stageCheck, reason: reason, started: now, due: now + 4*retryInterval, round: c.round}
 	e.survey(g, func(now timekeeper.Millis) {
 		if g.change.stage != stageCheck {
@@ -157,6 +164,10 @@
 	})
 }
 
+// handoverWait is how long a planned change waits for all releases. The primary
+// still serves, so that it is better to go on with it and try again later.
+const handoverWait timekeeper.Millis = 1000
+
 // handoverGap is how many entries a successor may lack when a planned change is
 // announced; it receives them while work is stopped.
 const handoverGap = 20
@@ -221,6 +232,10 @@
 		c.seen = sequencer.Max(c.seen, ack.Seen)
 	}
 	if len(missing) > 0 && !lapsed {
+		if c.reason == ReasonHandover && now-c.announced > handoverWait {
+			e.cancel(now, g, "a daemon does not answer: "+missing[0])
+			g.pausedUntil = now + e.settings.Takeover
+		}
 		return
 	}
 	e.log("the primary is released", observer.F("group", g.name), observer.F("number", c.number), observer.F("lapsed", len(missing)),
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -105,8 +105,10 @@
 	acks   map[string]map[string]Ack
 	duty   Duty
 	beats  map[string]beatSeen
-	groups map[string]*group
-	byID   map[string]cataloger.Server
+	// beatsAt is when the signs of life were read last.
+	beatsAt timekeeper.Millis
+	groups  map[string]*group
+	byID    map[string]cataloger.Server
 
 	number  uint64
 	writing map[uint64]func(now timekeeper.Millis, result Result)
@@ -295,8 +297,11 @@
 
 // SetBeats takes all daemons' signs of life.
 func (e *Elector) SetBeats(now timekeeper.Millis, beats map[string]Beat) {
+	// After a time without readings nothing can be said of any daemon.
+	blind := now-e.beatsAt > 2*e.settings.Beat
+	e.beatsAt = now
 	for name, beat := range beats {
-		if e.beats[name].beat != beat {
+		if blind || e.beats[name].beat != beat {
 			e.beats[name] = beatSeen{beat: beat, at: now}
 		}
 	}
--- a/elector/retire.go
+++ b/elector/retire.go
@@ -22,14 +22,14 @@
 	if e.leaving || !e.registered() || now < e.retireDue || !e.firstLive(now) {
 		return
 	}
-	e.retireDue = now + e.settings.Beat
+	e.retireDue = now + e.settings.Beat/2
 	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
 		host, row := e.hosts[name], e.rows[hostPrefix+name]
 		if name == e.settings.Self.Name {
 			continue
 		}
 		if !host.Retired {
-			if seen, found := e.beats[name]; found && now-seen.at > 2*e.settings.Takeover {
+			if seen, found := e.beats[name]; found && now-seen.at > e.settings.Takeover {
 				host.Retired = true
 				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(now-seen.at)))
 				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result) {})
@@ -49,6 +49,17 @@
 	}
 }
 
+// lostMember returns a registered daemon that gives no sign of life, or an empty
+// text.
+func (e *Elector) lostMember(now timekeeper.Millis) string {
+	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
+		if name != e.settings.Self.Name && !e.live(now, name) {
+			return name
+		}
+	}
+	return ""
+}
+
 // firstLive reports whether no live daemon comes before this one by name.
 func (e *Elector) firstLive(now timekeeper.Millis) bool {
 	for name := range e.hosts {
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -16,6 +16,8 @@
 	leads string
 	// by is when that must be so.
 	by timekeeper.Millis
+	// held is the longest that a daemon may hold work back in all.
+	held timekeeper.Millis
 	// not is until when s0 must lead still.
 	not timekeeper.Millis
 }
@@ -29,7 +31,7 @@
 	}
 	tests := map[string]scenario{
 		"a dark primary is replaced": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].down = true }},
+			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.handOver(); w.servers[0].down = true }},
 			by:     start + 2000 + promoteTime,
 		},
 		"a leaving primary hands over": {
@@ -63,6 +65,20 @@
 			},
 			leads: "s0", by: start + 9000,
 		},
+		"a daemon lost for good does not make a handover stop the group": {
+			faults: map[timekeeper.Millis]func(w *world){
+				2000:   func(w *world) { w.kill(w.daemons[2]) },
+				10_500: func(w *world) { w.servers[0].leaving = true },
+			},
+			held: 1500, by: 22_000,
+		},
+		"a daemon lost at the start of a handover does not stop the group for long": {
+			faults: map[timekeeper.Millis]func(w *world){
+				10_000: func(w *world) { w.kill(w.daemons[2]) },
+				10_100: func(w *world) { w.servers[0].leaving = true },
+			},
+			held: 3500, by: 26_000,
+		},
 		"the duty's holder is killed in the middle of a change": {
 			faults: map[timekeeper.Millis]func(w *world){
 				start:        func(w *world) { w.servers[0].down = true },
@@ -81,6 +97,10 @@
 				for at, f := range test.faults {
 					w.after(at-w.now, func() { w.mark("fault", f) })
 				}
+				held := timekeeper.Millis(0)
+				if test.held > 0 {
+					w.watchHeld(&held)
+				}
 				if test.not > 0 {
 					w.run(test.not)
 					if !w.servers[0].primary {
@@ -91,6 +111,9 @@
 				if lead := w.leader(); test.leads != "" && lead != test.leads || test.leads == "" && (lead == "" || lead == "s0") {
 					t.Errorf("seed %d: %s leads:\n%s", seed, w.leader(), strings.Join(w.history, "\n"))
 				}
+				if held > test.held {
+					t.Errorf("seed %d: work was held back for %d ms, want %d at most", seed, held, test.held)
+				}
 				if len(w.faults) > 0 {
 					t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.faults, "\n"), strings.Join(w.history, "\n"))
 				}
@@ -99,6 +122,15 @@
 	}
 }
 
+// watchHeld adds up for how long the first daemon holds work back.
+func (w *world) watchHeld(held *timekeeper.Millis) {
+	const pause timekeeper.Millis = 20
+	if w.daemons[0].node.elector.Leads(w.now)[testGroup].Held {
+		*held += pause
+	}
+	w.after(pause, func() { w.watchHeld(held) })
+}
+
 // leader returns the primary of the highest term that is up.
 func (w *world) leader() string {
 	best, term := "", int64(0)
--- a/proxier/world_test.go
+++ b/proxier/world_test.go
@@ -254,7 +254,7 @@
 	loop(1000, func() { w.scanServers(d) })
 	loop(2000, func() { w.scanRows(d) })
 	loop(100, func() { w.feedRows(d) })
-	loop(1500, func() { w.beat(d) })
+	loop(3000, func() { w.beat(d) })
 }
 
 // kill ends a daemon; its connections are reset.
@@ -492,8 +492,14 @@
 	return s.containsIn(write, len(s.log), w.places)
 }
 
-// replicate hands new entries to the replicas.
+// replicate hands new entries to the replicas, now and from time to time.
 func (w *world) replicate() {
+	w.handOver()
+	w.after(5, w.replicate)
+}
+
+// handOver hands new entries to the replicas.
+func (w *world) handOver() {
 	for _, s := range w.servers {
 		p := s.follows
 		if s.primary || p == nil || !p.primary || s.down || p.down || s.deaf {
@@ -518,7 +524,6 @@
 			}
 		})
 	}
-	w.after(5, w.replicate)
 }
 
 // carry carries a daemon's commands out.
