Hand over from a primary that fails most statements

Change: a primary that has failed more than half of its statements for 0.7 s is a reason for a handover, once in 20 s for a group: where the next primary fails them too, the server is not the cause. Scenario: 'a primary that fails all statements hands over' (none before).

--- a/elector/change.go
+++ b/elector/change.go
@@ -56,6 +56,9 @@
 		return ReasonHandover
 	}
 	signs := e.deps.Signs(g.name, id)
+	if signs.Broken > 0 && now-signs.Broken >= e.settings.Suspect && now >= g.mendedUntil {
+		return ReasonHandover
+	}
 	if signs.Silent > 0 && now-signs.Silent >= e.settings.Suspect {
 		return ReasonFailure
 	}
@@ -461,12 +464,17 @@
 			c.due = now + resumeLeast
 			if result == Applied {
 				g.change = change{}
+				g.mendedUntil = now + mendInterval
 			}
 			e.out = append(e.out, Reread{})
 		})
 	})
 }
 
+// mendInterval is the least time between two changes of a group's primary because
+// statements fail: where the next one fails them too, the server is not the cause.
+const mendInterval timekeeper.Millis = 20_000
+
 // confirmInterval is the time between two questions whether the successor leads.
 const confirmInterval timekeeper.Millis = 40
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -66,6 +66,8 @@
 	// Silent is since when the server does not answer, though asked; 0 if it
 	// does.
 	Silent timekeeper.Millis
+	// Broken is since when the server has failed most statements; 0 if it does not.
+	Broken timekeeper.Millis
 	// Settled says that nothing runs on the primary any more.
 	Settled bool
 	// Seen is the highest position that the primary told of.
--- a/elector/group.go
+++ b/elector/group.go
@@ -37,6 +37,8 @@
 	change change
 	// pausedUntil is when this daemon may announce a change again.
 	pausedUntil timekeeper.Millis
+	// mendedUntil is until when failing statements are no reason for a change.
+	mendedUntil timekeeper.Millis
 	// since is when the present reason for a change was first seen, and reason
 	// that reason.
 	since  timekeeper.Millis
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -199,6 +199,8 @@
 	Heard timekeeper.Millis
 	// Silent is since when it does not answer, though asked; 0 if it does.
 	Silent timekeeper.Millis
+	// Broken is since when it has failed most statements; 0 if it does not.
+	Broken timekeeper.Millis
 	// Settled says that nothing runs on it that needs the primary.
 	Settled bool
 	// Seen is the highest position that a primary of the group told of.
@@ -214,7 +216,7 @@
 	}
 	signs := Signs{Settled: g.onLead() == 0, Seen: g.highest, Term: g.lead.Term}
 	if s := g.byID[id]; s != nil {
-		signs.Heard, signs.Silent = s.heard, s.silentSince
+		signs.Heard, signs.Silent, signs.Broken = s.heard, s.silentSince, s.brokenSince
 	}
 	return signs
 }
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -37,6 +37,9 @@
 	// reads, and failingPause for how long after a failure.
 	failingLimit                   = 0.15
 	failingPause timekeeper.Millis = 1000
+	// brokenLimit is the part of failed statements from which a server counts as
+	// broken.
+	brokenLimit = 0.5
 	// fullPause is how long a server whose queue is full gets no more reads.
 	fullPause timekeeper.Millis = 25
 )
@@ -80,8 +83,10 @@
 	silent      bool
 	silentSince timekeeper.Millis
 	fullUntil   timekeeper.Millis
-	// failing is the part of statements that failed of late.
-	failing float64
+	// failing is the part of statements that failed of late, and brokenSince since
+	// when it has been most of them; 0 if it is not.
+	failing     float64
+	brokenSince timekeeper.Millis
 }
 
 // waiting returns since when an answer has been outstanding on a server that
@@ -187,9 +192,15 @@
 func (s *server) judge(now timekeeper.Millis, failed bool) {
 	s.failing -= smoothing * s.failing
 	if !failed {
+		if s.failing < brokenLimit {
+			s.brokenSince = 0
+		}
 		return
 	}
 	s.failing += smoothing
+	if s.failing >= brokenLimit && s.brokenSince == 0 {
+		s.brokenSince = now
+	}
 	if s.failing > failingLimit {
 		s.fullUntil = now + failingPause
 	}
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -22,72 +22,82 @@
 	not timekeeper.Millis
 }
 
-func TestChangesOfPrimary(t *testing.T) {
-	const start = 5000
-	cut := func(w *world, daemons ...int) {
-		for _, i := range daemons {
-			w.daemons[i].serverCut["s0"] = true
-		}
+// start is when the faults of most scenarios begin.
+const start timekeeper.Millis = 5000
+
+// cutPrimary cuts daemons off from s0.
+func cutPrimary(w *world, daemons ...int) {
+	for _, i := range daemons {
+		w.daemons[i].serverCut["s0"] = true
 	}
-	tests := map[string]scenario{
-		"a dark primary is replaced": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.handOver(); w.servers[0].down = true }},
-			by:     start + 2000 + promoteTime,
-		},
-		"a leaving primary hands over": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].leaving = true }},
-			by:     start + 1500 + promoteTime,
-		},
-		"a primary that one daemon reaches is kept": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cut(w, 1, 2) }},
-			leads:  "s0", by: start + 12_000,
-		},
-		"a daemon without the store keeps its primary until its lease ends": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cut(w, 1, 2); w.daemons[0].storeCut = true }},
-			not:    start + 2000, by: start + testLease + 5000,
-		},
-		"a daemon that was killed does not delay a change for longer than its lease": {
-			faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.kill(w.daemons[2]); w.servers[0].down = true }},
-			by:     start + testLease + 4000,
-		},
-		"no primary is replaced while the store is down": {
-			faults: map[timekeeper.Millis]func(w *world){
-				start:        func(w *world) { w.down = true; w.servers[0].down = true },
-				start + 6000: func(w *world) { w.servers[0].down = false },
-			},
-			leads: "s0", by: start + 6500,
+}
+
+// changes are schedules with what must come of them.
+var changes = map[string]scenario{
+	"a dark primary is replaced": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.handOver(); w.servers[0].down = true }},
+		by:     start + 2000 + promoteTime,
+	},
+	"a leaving primary hands over": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].leaving = true }},
+		by:     start + 1500 + promoteTime,
+	},
+	"a primary that fails all statements hands over": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.servers[0].broken = true }},
+		held:   1500, by: start + 3000 + promoteTime,
+	},
+	"a primary that one daemon reaches is kept": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cutPrimary(w, 1, 2) }},
+		leads:  "s0", by: start + 12_000,
+	},
+	"a daemon without the store keeps its primary until its lease ends": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cutPrimary(w, 1, 2); w.daemons[0].storeCut = true }},
+		not:    start + 2000, by: start + testLease + 5000,
+	},
+	"a daemon that was killed does not delay a change for longer than its lease": {
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { w.kill(w.daemons[2]); w.servers[0].down = true }},
+		by:     start + testLease + 4000,
+	},
+	"no primary is replaced while the store is down": {
+		faults: map[timekeeper.Millis]func(w *world){
+			start:        func(w *world) { w.down = true; w.servers[0].down = true },
+			start + 6000: func(w *world) { w.servers[0].down = false },
 		},
-		"replicas that lack commits wait for the primary's return": {
-			faults: map[timekeeper.Millis]func(w *world){
-				start:        func(w *world) { w.servers[1].deaf, w.servers[2].deaf = true, true },
-				start + 500:  func(w *world) { w.servers[0].down = true },
-				start + 4000: func(w *world) { w.servers[0].down = false },
-			},
-			leads: "s0", by: start + 9000,
+		leads: "s0", by: start + 6500,
+	},
+	"replicas that lack commits wait for the primary's return": {
+		faults: map[timekeeper.Millis]func(w *world){
+			start:        func(w *world) { w.servers[1].deaf, w.servers[2].deaf = true, true },
+			start + 500:  func(w *world) { w.servers[0].down = true },
+			start + 4000: func(w *world) { w.servers[0].down = false },
 		},
-		"a daemon lost for good does not make a handover stop the group": {
-			faults: map[timekeeper.Millis]func(w *world){
-				2000:   func(w *world) { w.kill(w.daemons[2]) },
-				10_500: func(w *world) { w.servers[0].leaving = true },
-			},
-			held: 1500, by: 22_000,
+		leads: "s0", by: start + 9000,
+	},
+	"a daemon lost for good does not make a handover stop the group": {
+		faults: map[timekeeper.Millis]func(w *world){
+			2000:   func(w *world) { w.kill(w.daemons[2]) },
+			10_500: func(w *world) { w.servers[0].leaving = true },
 		},
-		"a daemon lost at the start of a handover does not stop the group for long": {
-			faults: map[timekeeper.Millis]func(w *world){
-				10_000: func(w *world) { w.kill(w.daemons[2]) },
-				10_100: func(w *world) { w.servers[0].leaving = true },
-			},
-			held: 3500, by: 26_000,
+		held: 1500, by: 22_000,
+	},
+	"a daemon lost at the start of a handover does not stop the group for long": {
+		faults: map[timekeeper.Millis]func(w *world){
+			10_000: func(w *world) { w.kill(w.daemons[2]) },
+			10_100: func(w *world) { w.servers[0].leaving = true },
 		},
-		"the duty's holder is killed in the middle of a change": {
-			faults: map[timekeeper.Millis]func(w *world){
-				start:        func(w *world) { w.servers[0].down = true },
-				start + 1000: func(w *world) { w.killHolder() },
-			},
-			by: start + 12_000,
+		held: 3500, by: 26_000,
+	},
+	"the duty's holder is killed in the middle of a change": {
+		faults: map[timekeeper.Millis]func(w *world){
+			start:        func(w *world) { w.servers[0].down = true },
+			start + 1000: func(w *world) { w.killHolder() },
 		},
-	}
-	for name, test := range tests {
+		by: start + 12_000,
+	},
+}
+
+func TestChangesOfPrimary(t *testing.T) {
+	for name, test := range changes {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(8) {
 				w := newWorld(seed+1, 3)
--- a/proxier/world_test.go
+++ b/proxier/world_test.go
@@ -69,6 +69,8 @@
 	// mute makes the server lose some of its answers.
 	mute    bool
 	leaving bool
+	// broken makes the server fail all reads and writes.
+	broken bool
 	// changed is when a fault of the server began or ended.
 	changed  timekeeper.Millis
 	sessions map[pooler.Conn]*serverSession
@@ -631,6 +633,9 @@
 	if session.open && session.plain && !s.primary && st.Kind != multiplexer.KindRollback {
 		return fail(multiplexer.CodeReadOnly)
 	}
+	if s.broken && (st.Kind == multiplexer.KindRead || st.Kind == multiplexer.KindWrite) {
+		return fail(multiplexer.CodeFailed)
+	}
 	signature := ""
 	switch st.Kind {
 	case multiplexer.KindBegin:
