--- a/multiplexer/bench_world_test.go
+++ b/multiplexer/bench_world_test.go
@@ -1,44 +1,22 @@
 package multiplexer
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"testing"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-type event struct {
-	at  timekeeper.Millis
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // bed drives a multiplexer in virtual time against servers that have slots.
 type bed struct {
-	t       *testing.T
-	m       *Multiplexer
-	now     timekeeper.Millis
-	queue   events
-	seq     int
+	t *testing.T
+	m *Multiplexer
+	*timekeeper.Agenda
 	random  *rand.Rand
 	servers map[string]*bedServer
 	conns   map[pooler.Conn]*bedServer
@@ -64,7 +42,7 @@
 
 func newBed(t *testing.T, service timekeeper.Millis) *bed {
 	b := &bed{
-		t: t, m: New(DefaultSettings("a"), Deps{}), now: 1000, random: rand.New(rand.NewSource(1)),
+		t: t, m: New(DefaultSettings("a"), Deps{}), Agenda: timekeeper.NewAgenda(1000), random: rand.New(rand.NewSource(1)),
 		servers: map[string]*bedServer{}, conns: map[pooler.Conn]*bedServer{}, pending: map[uint64]func(Answer){},
 	}
 	var list []cataloger.Server
@@ -73,41 +51,30 @@
 		b.servers[id] = &bedServer{id: id, slots: make([]timekeeper.Millis, 2), service: service, applied: 1}
 		list = append(list, cataloger.Server{ID: id, Group: bedGroup, Address: id, Domain: domain, Slots: 2, Primary: i == 0})
 	}
-	b.carry(b.m.SetCatalog(b.now, cataloger.New(1, []cataloger.Database{
+	b.carry(b.m.SetCatalog(b.Now(), cataloger.New(1, []cataloger.Database{
 		{Name: "urgent", Group: bedGroup, Consistency: cataloger.ConsistencyPrimary, Timeout: 800},
 		{Name: "standard", Group: bedGroup, Consistency: cataloger.ConsistencySession, MaxAge: 2500, Timeout: 800, Rank: 1},
 		{Name: "browse", Group: bedGroup, Consistency: cataloger.ConsistencyBounded, MaxAge: 1500, Timeout: 1200, Rank: 2},
 	}, []cataloger.Group{{Name: bedGroup, Connections: 16}}).WithIdleLimit(3000)))
-	b.carry(b.m.SetServers(b.now, list))
+	b.carry(b.m.SetServers(b.Now(), list))
 	b.lead("s0", 1, false)
-	b.after(1, b.tick)
+	b.After(1, b.tick)
 	return b
 }
 
 func (b *bed) lead(id string, term int64, held bool) {
-	b.carry(b.m.SetLead(b.now, bedGroup, Lead{
-		Server: id, Term: term, History: sequencer.History{{Term: 1, Start: 0}}, Until: b.now + 1_000_000, Held: held,
+	b.carry(b.m.SetLead(b.Now(), bedGroup, elector.Lead{
+		Server: id, Term: term, History: sequencer.History{{Term: 1, Start: 0}}, Until: b.Now() + 1_000_000, Held: held,
 	}))
 }
 
-func (b *bed) after(d timekeeper.Millis, f func()) {
-	b.seq++
-	heap.Push(&b.queue, event{at: b.now + d, seq: b.seq, do: f})
-}
-
 func (b *bed) tick() {
-	b.carry(b.m.Tick(b.now))
-	b.after(10, b.tick)
+	b.carry(b.m.Tick(b.Now()))
+	b.After(10, b.tick)
 }
 
 func (b *bed) run(d timekeeper.Millis) {
-	until := b.now + d
-	for len(b.queue) > 0 && b.queue[0].at <= until {
-		next := heap.Pop(&b.queue).(event)
-		b.now = next.at
-		next.do()
-	}
-	b.now = until
+	b.Run(b.Now()+d, nil)
 }
 
 func (b *bed) carry(commands []Command) {
@@ -136,13 +103,13 @@
 func (b *bed) open(c Open) {
 	s := b.servers[c.Server.ID]
 	if s.down {
-		b.after(500, func() { b.carry(b.m.Lost(b.now, c.Conn)) })
+		b.After(500, func() { b.carry(b.m.Lost(b.Now(), c.Conn)) })
 		return
 	}
 	b.conns[c.Conn] = s
 	s.open++
-	b.after(12, func() {
-		b.carry(b.m.Opened(b.now, c.Conn, Answer{Position: sequencer.Position{Term: 1, Offset: s.applied}}))
+	b.After(12, func() {
+		b.carry(b.m.Opened(b.Now(), c.Conn, Answer{Position: sequencer.Position{Term: 1, Offset: s.applied}}))
 	})
 }
 
@@ -157,12 +124,12 @@
 			slot = i
 		}
 	}
-	start := max(s.slots[slot], b.now)
+	start := max(s.slots[slot], b.Now())
 	took := s.service/2 + timekeeper.Millis(b.random.Int63n(int64(s.service)+1))
 	s.slots[slot] = start + took
 	s.ran++
 	mute := s.mute
-	b.after(start+took-b.now+1, func() {
+	b.After(start+took-b.Now()+1, func() {
 		if s.down || mute || b.conns[c.Conn] != s {
 			return
 		}
@@ -174,7 +141,7 @@
 			}
 			answers = append(answers, a)
 		}
-		b.carry(b.m.Answered(b.now, c.Conn, answers))
+		b.carry(b.m.Answered(b.Now(), c.Conn, answers))
 	})
 }
 
@@ -185,12 +152,12 @@
 	if a := b.m.Connect(id, database, account); a.Code != CodeOK {
 		b.t.Fatalf("connect: %v", a)
 	}
-	begun := b.now
+	begun := b.Now()
 	b.pending[id] = func(a Answer) {
-		b.after(0, func() { b.carry(b.m.Disconnect(b.now, id)) })
-		done(a, b.now-begun)
+		b.After(0, func() { b.carry(b.m.Disconnect(b.Now(), id)) })
+		done(a, b.Now()-begun)
 	}
-	b.carry(b.m.Run(b.now, id, st))
+	b.carry(b.m.Run(b.Now(), id, st))
 }
 
 // tally is what came of a stream of statements.
@@ -203,7 +170,7 @@
 // stream asks for a statement at an interval, for a while.
 func (b *bed) stream(database string, st Statement, every, length timekeeper.Millis, into *tally) {
 	for at := timekeeper.Millis(0); at < length; at += every {
-		b.after(at, func() {
+		b.After(at, func() {
 			b.ask(database, database, st, func(a Answer, took timekeeper.Millis) {
 				switch a.Code {
 				case CodeOK:
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/router"
@@ -26,20 +27,6 @@
 	retryShort timekeeper.Millis = 200
 )
 
-// Lead is what a daemon may believe about a group's primary.
-type Lead struct {
-	Server  string
-	Term    int64
-	History sequencer.History
-	// Until is when the right to answer from this term ends.
-	Until timekeeper.Millis
-	// Held says that a change of primary is under way: nothing new may start on
-	// the present one.
-	Held bool
-	// Resume is when the change is expected to be over, while Held.
-	Resume timekeeper.Millis
-}
-
 // group is the state of one database group.
 type group struct {
 	name    string
@@ -49,7 +36,7 @@
 	queue   *scheduler.Queue
 	waiting map[string]*job
 	running map[string]*job
-	lead    Lead
+	lead    elector.Lead
 	samples router.Samples
 	highest sequencer.Position
 	costs   [scheduler.Ranks]float64
@@ -139,7 +126,7 @@
 }
 
 // setLead takes who leads the group and until when that may be believed.
-func (g *group) setLead(now timekeeper.Millis, lead Lead) {
+func (g *group) setLead(now timekeeper.Millis, lead elector.Lead) {
 	before := g.lead
 	if lead.Term == 0 && lead.Server == before.Server {
 		lead.Term, lead.History = before.Term, before.History
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -98,10 +98,10 @@
 		b.servers["s0"].applied++
 	}
 	for at := timekeeper.Millis(0); at < 12_000; at += 50 {
-		b.after(at, commit)
-		b.after(at+5, func() {
+		b.After(at, commit)
+		b.After(at+5, func() {
 			for _, id := range []string{"s1", "s2"} {
-				if b.now > 6000 || id == "s1" {
+				if b.Now() > 6000 || id == "s1" {
 					b.servers[id].applied = b.servers["s0"].applied
 				}
 			}
@@ -151,8 +151,8 @@
 	var first, reads tally
 	b.stream("urgent", aRead, 20, 400, &first)
 	b.run(500)
-	b.after(0, func() { b.servers["s1"].mute = true })
-	b.after(400, func() { b.servers["s1"].mute = false })
+	b.After(0, func() { b.servers["s1"].mute = true })
+	b.After(400, func() { b.servers["s1"].mute = false })
 	b.stream("urgent", aRead, 20, 900, &first)
 	b.stream("browse", aRead, 25, 900, &reads)
 	b.run(3000)
@@ -182,7 +182,7 @@
 	if !b.m.Ready() {
 		t.Error("not ready although the store answers: the primaries are lost, not the daemon")
 	}
-	b.m.SetStore(b.now, true)
+	b.m.SetStore(b.Now(), true)
 	b.run(100)
 	if b.m.Ready() {
 		t.Error("ready although neither store nor primaries answer")
@@ -194,7 +194,7 @@
 	for _, s := range b.servers {
 		s.down = false
 	}
-	b.m.SetStore(b.now, false)
+	b.m.SetStore(b.Now(), false)
 	b.run(2000)
 	if !b.m.Ready() {
 		t.Error("not ready after the cut healed")
@@ -209,8 +209,8 @@
 	for i := range 3 {
 		id := uint64(500 + i)
 		b.m.Connect(id, "urgent", "rests")
-		b.carry(b.m.Run(b.now, id, Statement{ID: "b", Kind: KindBegin}))
-		b.carry(b.m.Run(b.now, id, aWrite))
+		b.carry(b.m.Run(b.Now(), id, Statement{ID: "b", Kind: KindBegin}))
+		b.carry(b.m.Run(b.Now(), id, aWrite))
 		b.run(50)
 	}
 	var blocked, after tally
@@ -222,7 +222,7 @@
 	}
 	var answer Answer
 	b.pending[500] = func(a Answer) { answer = a }
-	b.carry(b.m.Run(b.now, 500, aWrite))
+	b.carry(b.m.Run(b.Now(), 500, aWrite))
 	if answer.Code != CodeMalformed || answer.State != StateFailed {
 		t.Errorf("a statement after the limit: %+v, want it refused in a failed transaction", answer)
 	}
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -10,9 +10,9 @@
 	"slices"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/pooler"
-	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -186,35 +186,20 @@
 }
 
 // SetLead tells who leads a group.
-func (m *Multiplexer) SetLead(now timekeeper.Millis, name string, lead Lead) []Command {
+func (m *Multiplexer) SetLead(now timekeeper.Millis, name string, lead elector.Lead) []Command {
 	g := m.group(name)
 	g.setLead(now, lead)
 	g.pump(now)
 	return m.take()
 }
 
-// Signs is what this daemon's traffic tells of a server that leads a group.
-type Signs struct {
-	// Heard is when the server answered last; 0 for never.
-	Heard timekeeper.Millis
-	// Silent is since when it does not answer, though asked; 0 if it does.
-	Silent timekeeper.Millis
-	// Broken is since when it has failed most statements; 0 if it does not.
-	Broken timekeeper.Millis
-	// Settled says that nothing runs on it that needs the primary.
-	Settled bool
-	// Seen is the highest position that a primary of the group told of.
-	Seen sequencer.Position
-	Term int64
-}
-
 // Signs returns what is known of a server as its group's primary.
-func (m *Multiplexer) Signs(group, id string) Signs {
+func (m *Multiplexer) Signs(group, id string) elector.Signs {
 	g := m.groups[group]
 	if g == nil {
-		return Signs{Settled: true}
+		return elector.Signs{Settled: true}
 	}
-	signs := Signs{Settled: g.onLead() == 0, Seen: g.highest, Term: g.lead.Term}
+	signs := elector.Signs{Settled: g.onLead() == 0, Seen: g.highest, Term: g.lead.Term}
 	if s := g.byID[id]; s != nil {
 		signs.Heard, signs.Silent, signs.Broken = s.heard, s.silentSince, s.brokenSince
 	}
--- a/proxier/node.go
+++ b/proxier/node.go
@@ -21,16 +21,11 @@
 
 func newNode(settings Settings, muxDeps multiplexer.Deps, electorDeps elector.Deps) *node {
 	n := &node{settings: settings, mux: multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), muxDeps)}
-	electorDeps.Signs = n.signs
+	electorDeps.Signs = n.mux.Signs
 	n.elector = elector.New(settings.Elector, electorDeps)
 	return n
 }
 
-// signs tells the elector what the daemon's own traffic says of a primary.
-func (n *node) signs(group, server string) elector.Signs {
-	return elector.Signs(n.mux.Signs(group, server))
-}
-
 // setServers takes the registrations that were read.
 func (n *node) setServers(now timekeeper.Millis, read []cataloger.Server) ([]multiplexer.Command, []elector.Command) {
 	servers := n.registry.merge(now, read, n.settings.Silence)
@@ -61,7 +56,7 @@
 	}
 	leads := n.elector.Leads(now)
 	for _, name := range slices.Sorted(maps.Keys(leads)) {
-		out = append(out, n.mux.SetLead(now, name, multiplexer.Lead(leads[name]))...)
+		out = append(out, n.mux.SetLead(now, name, leads[name])...)
 	}
 	return append(out, n.mux.SetHosts(now, n.elector.Hosts(now))...), rest
 }
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -102,10 +102,10 @@
 			for seed := range int64(8) {
 				w := newWorld(seed+1, 3)
 				for i := range 6 {
-					w.after(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
+					w.After(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
 				}
 				for at, f := range test.faults {
-					w.after(at-w.now, func() { w.mark("fault", f) })
+					w.After(at-w.Now(), func() { w.mark("fault", f) })
 				}
 				held := timekeeper.Millis(0)
 				if test.held > 0 {
@@ -135,10 +135,10 @@
 // watchHeld adds up for how long the first daemon holds work back.
 func (w *world) watchHeld(held *timekeeper.Millis) {
 	const pause timekeeper.Millis = 20
-	if w.daemons[0].node.elector.Leads(w.now)[testGroup].Held {
+	if w.daemons[0].node.elector.Leads(w.Now())[testGroup].Held {
 		*held += pause
 	}
-	w.after(pause, func() { w.watchHeld(held) })
+	w.After(pause, func() { w.watchHeld(held) })
 }
 
 // leader returns the primary of the highest term that is up.
@@ -158,7 +158,7 @@
 	for _, d := range w.daemons {
 		if strings.Contains(string(w.rows["own/duty"].Value), `"`+d.name+`"`) {
 			w.kill(d)
-			w.after(6000, func() { w.start(d) })
+			w.After(6000, func() { w.start(d) })
 		}
 	}
 }
--- a/proxier/simulation_test.go
+++ b/proxier/simulation_test.go
@@ -38,7 +38,7 @@
 		{"store down", func(w *world) { w.down = true }, func(w *world) { w.down = false }},
 		{"store loses answers", func(w *world) { w.lossy = true }, func(w *world) { w.lossy = false }},
 		{"daemon cut from the store", func(*world) { d.storeCut = true }, func(*world) { d.storeCut = false }},
-		{"daemon frozen", func(w *world) { d.frozenUntil = w.now + 2500 }, func(*world) {}},
+		{"daemon frozen", func(w *world) { d.frozenUntil = w.Now() + 2500 }, func(*world) {}},
 		{"daemon killed", func(w *world) { w.kill(d) }, func(w *world) { w.start(d) }},
 		{"daemon cut from a server", func(*world) { d.serverCut[s.id] = true }, func(*world) { delete(d.serverCut, s.id) }},
 		{"primary cut from half of the daemons", func(w *world) {
@@ -63,10 +63,10 @@
 	w.note("%s", what)
 	change(w)
 	for _, d := range w.daemons {
-		d.changed = w.now
+		d.changed = w.Now()
 	}
 	for _, s := range w.servers {
-		s.changed = w.now
+		s.changed = w.Now()
 	}
 }
 
@@ -74,15 +74,15 @@
 func play(seed int64) *world {
 	w := newWorld(seed, 3)
 	for i := range 9 {
-		w.after(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
+		w.After(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
 	}
 	for range 2 + w.random.Intn(6) {
 		at := timekeeper.Millis(1500 + w.random.Intn(14_000))
 		length := timekeeper.Millis(300 + w.random.Intn(7000))
 		all := w.troubles()
 		t := all[w.random.Intn(len(all))]
-		w.after(at, func() { w.mark(t.name+" begins", t.begin) })
-		w.after(at+length, func() { w.mark(t.name+" ends", t.end) })
+		w.After(at, func() { w.mark(t.name+" begins", t.begin) })
+		w.After(at+length, func() { w.mark(t.name+" ends", t.end) })
 	}
 	w.run(26_000)
 	return w
--- a/proxier/world_test.go
+++ b/proxier/world_test.go
@@ -1,12 +1,10 @@
 package proxier
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand"
 	"slices"
-	"strconv"
 
 	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/elector"
@@ -26,30 +24,6 @@
 
 var errUnreachable = errors.New("unreachable")
 
-// event is something that happens at a time of the virtual clock.
-type event struct {
-	at  timekeeper.Millis
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // entry is one commit in a log.
 type entry struct {
 	term  int64
@@ -121,10 +95,8 @@
 
 // world is everything outside the daemons, in virtual time.
 type world struct {
-	random  *rand.Rand
-	now     timekeeper.Millis
-	queue   events
-	seq     int
+	random *rand.Rand
+	*timekeeper.Agenda
 	rows    map[string]elector.Row
 	version int64
 	down    bool
@@ -153,7 +125,7 @@
 
 func newWorld(seed int64, daemons int) *world {
 	w := &world{
-		random: rand.New(rand.NewSource(seed)), now: 1000, rows: map[string]elector.Row{},
+		random: rand.New(rand.NewSource(seed)), Agenda: timekeeper.NewAgenda(1000), rows: map[string]elector.Row{},
 		acked: map[string]ackedWrite{}, promised: map[string]bool{}, places: map[string]int{},
 	}
 	for i := range 3 {
@@ -167,24 +139,19 @@
 		w.daemons = append(w.daemons, d)
 		w.start(d)
 	}
-	w.after(20, w.replicate)
+	w.After(20, w.replicate)
 	return w
 }
 
 func (w *world) note(format string, args ...any) {
-	w.history = append(w.history, fmt.Sprintf("%6d ", w.now)+fmt.Sprintf(format, args...))
+	w.history = append(w.history, fmt.Sprintf("%6d ", w.Now())+fmt.Sprintf(format, args...))
 	if len(w.history) > 400 {
 		w.history = w.history[200:]
 	}
 }
 
 func (w *world) fault(format string, args ...any) {
-	w.faults = append(w.faults, fmt.Sprintf("%d: ", w.now)+fmt.Sprintf(format, args...))
-}
-
-func (w *world) after(d timekeeper.Millis, f func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at: w.now + d, seq: w.seq, do: f})
+	w.faults = append(w.faults, fmt.Sprintf("%d: ", w.Now())+fmt.Sprintf(format, args...))
 }
 
 // hop is the time of one message.
@@ -193,12 +160,7 @@
 }
 
 func (w *world) run(until timekeeper.Millis) {
-	for len(w.queue) > 0 && w.queue[0].at <= until && len(w.faults) == 0 {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.do()
-	}
-	w.now = until
+	w.Run(until, func() bool { return len(w.faults) == 0 })
 }
 
 // to runs f at a daemon after a hop, when the daemon is the same and not frozen.
@@ -209,13 +171,13 @@
 		if !d.up || d.incarnation != incarnation {
 			return
 		}
-		if w.now < d.frozenUntil {
-			w.after(d.frozenUntil-w.now, try)
+		if w.Now() < d.frozenUntil {
+			w.After(d.frozenUntil-w.Now(), try)
 			return
 		}
 		f()
 	}
-	w.after(w.hop(), try)
+	w.After(w.hop(), try)
 }
 
 func (w *world) start(d *fakeDaemon) {
@@ -233,7 +195,7 @@
 		{Name: "session", Group: testGroup, Consistency: cataloger.ConsistencySession, MaxAge: 2500, Timeout: 800, Rank: 1},
 		{Name: "bounded", Group: testGroup, Consistency: cataloger.ConsistencyBounded, MaxAge: 1500, Timeout: 1200, Rank: 2},
 	}, []cataloger.Group{{Name: testGroup, Connections: 16}}).WithIdleLimit(3000)
-	w.carry(d, d.node.mux.SetCatalog(w.now, catalog), nil)
+	w.carry(d, d.node.mux.SetCatalog(w.Now(), catalog), nil)
 	incarnation := d.incarnation
 	alive := func() bool { return d.up && d.incarnation == incarnation }
 	loop := func(pause timekeeper.Millis, f func()) {
@@ -242,15 +204,15 @@
 			if !alive() {
 				return
 			}
-			if w.now >= d.frozenUntil {
+			if w.Now() >= d.frozenUntil {
 				f()
 			}
-			w.after(pause, again)
+			w.After(pause, again)
 		}
-		w.after(w.hop(), again)
+		w.After(w.hop(), again)
 	}
 	loop(10, func() {
-		commands, elections := d.node.tick(w.now, d.storeCut || w.down)
+		commands, elections := d.node.tick(w.Now(), d.storeCut || w.down)
 		w.carry(d, commands, elections)
 	})
 	loop(1000, func() { w.scanServers(d) })
@@ -286,7 +248,7 @@
 	for _, s := range w.servers {
 		list = append(list, cataloger.Server{ID: s.id, Group: testGroup, Address: s.id, Domain: s.id, Slots: 4, Leaving: s.leaving, Primary: s.primary})
 	}
-	w.to(d, func() { w.carryPair(d)(d.node.setServers(w.now, list)) })
+	w.to(d, func() { w.carryPair(d)(d.node.setServers(w.Now(), list)) })
 }
 
 func (w *world) carryPair(d *fakeDaemon) func([]multiplexer.Command, []elector.Command) {
@@ -306,13 +268,13 @@
 }
 
 func (w *world) scanRows(d *fakeDaemon) {
-	asked := w.now
-	w.after(w.hop(), func() {
+	asked := w.Now()
+	w.After(w.hop(), func() {
 		if !w.storeFor(d) {
 			return
 		}
 		rows, version := w.ownRows("own/"), w.version
-		w.to(d, func() { w.carryPair(d)(d.node.settle(w.now, d.node.elector.SetRows(w.now, asked, rows, version))) })
+		w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.SetRows(w.Now(), asked, rows, version))) })
 	})
 }
 
@@ -322,7 +284,7 @@
 		return
 	}
 	rows, version := w.ownRows("own/"), w.version
-	w.to(d, func() { w.carryPair(d)(d.node.settle(w.now, d.node.elector.ChangeRows(w.now, rows, version))) })
+	w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.ChangeRows(w.Now(), rows, version))) })
 }
 
 func (w *world) beat(d *fakeDaemon) {
@@ -335,7 +297,7 @@
 	for _, row := range w.ownRows("beat/") {
 		beats[row.Key] = elector.Beat{Count: row.Version}
 	}
-	w.to(d, func() { d.node.elector.SetBeats(w.now, beats) })
+	w.to(d, func() { d.node.elector.SetBeats(w.Now(), beats) })
 }
 
 // transact performs a transaction at the store.
@@ -361,19 +323,19 @@
 	done := func(result elector.Result) {
 		w.to(d, func() {
 			if d.incarnation == incarnation {
-				w.carryPair(d)(d.node.settle(w.now, d.node.elector.Written(w.now, c.ID, result)))
+				w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Written(w.Now(), c.ID, result)))
 			}
 		})
 	}
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		switch {
 		case w.down:
 			done(elector.Refused)
 		case d.storeCut:
-			w.after(700, func() { done(elector.Unsure) })
+			w.After(700, func() { done(elector.Unsure) })
 		case w.lossy && w.random.Intn(3) == 0:
-			w.after(timekeeper.Millis(w.random.Intn(3000)), func() { w.transact(c.Tx) })
-			w.after(700, func() { done(elector.Unsure) })
+			w.After(timekeeper.Millis(w.random.Intn(3000)), func() { w.transact(c.Tx) })
+			w.After(700, func() { done(elector.Unsure) })
 		default:
 			done(w.transact(c.Tx))
 		}
@@ -384,11 +346,11 @@
 func (w *world) inspect(d *fakeDaemon, c elector.Inspect) {
 	s := w.server(c.Server.ID)
 	done := func(account elector.Account, err error) {
-		w.to(d, func() { w.carryPair(d)(d.node.settle(w.now, d.node.elector.Inspected(w.now, c.ID, account, err))) })
+		w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Inspected(w.Now(), c.ID, account, err))) })
 	}
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		if !w.reaches(d, s) {
-			w.after(700, func() { done(elector.Account{}, errUnreachable) })
+			w.After(700, func() { done(elector.Account{}, errUnreachable) })
 			return
 		}
 		if c.Order.Demand == elector.DemandStepDown && s.primary && s.term < c.Order.Term {
@@ -413,7 +375,7 @@
 
 // promote makes a server lead after a while, and checks the fence.
 func (w *world) promote(d *fakeDaemon, c elector.Promote) {
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		p := c.Promotion
 		if p.Fence < w.fence || p.Fence == w.fence && p.Holder != w.holder {
 			w.fault("fence %d of %s after %d of %s", p.Fence, p.Holder, w.fence, w.holder)
@@ -426,9 +388,9 @@
 		} else if !s.primary {
 			w.checkPromotion(p)
 			w.note("%s promotes %s with fence %d", p.Holder, s.id, p.Fence)
-			w.after(promoteTime, func() { w.take(s) })
+			w.After(promoteTime, func() { w.take(s) })
 		}
-		w.to(d, func() { w.carryPair(d)(d.node.settle(w.now, d.node.elector.Promoted(w.now, c.ID, err))) })
+		w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Promoted(w.Now(), c.ID, err))) })
 	})
 }
 
@@ -436,11 +398,11 @@
 // replaced, unless that leaves.
 func (w *world) checkPromotion(p elector.Promotion) {
 	for _, s := range w.servers {
-		if !s.primary || s.leaving || s.down || w.now-s.changed < testLease {
+		if !s.primary || s.leaving || s.down || w.Now()-s.changed < testLease {
 			continue
 		}
 		for _, d := range w.daemons {
-			if d.up && !d.storeCut && w.now > d.frozenUntil+testLease && !d.serverCut[s.id] && w.now-d.changed > testLease {
+			if d.up && !d.storeCut && w.Now() > d.frozenUntil+testLease && !d.serverCut[s.id] && w.Now()-d.changed > testLease {
 				w.fault("%s replaces %s, which %s reaches", p.Holder, s.id, d.name)
 			}
 		}
@@ -466,7 +428,7 @@
 	}
 	for _, other := range w.servers {
 		if other != s {
-			w.after(1000, func() { w.follow(other, s) })
+			w.After(1000, func() { w.follow(other, s) })
 		}
 	}
 }
@@ -474,7 +436,7 @@
 // follow makes a server a replica of the newest primary it can reach.
 func (w *world) follow(other, s *fakeServer) {
 	if other.down || s.down || other.deaf {
-		w.after(500, func() { w.follow(other, s) })
+		w.After(500, func() { w.follow(other, s) })
 		return
 	}
 	if other.term > s.term || !s.primary {
@@ -497,7 +459,7 @@
 // replicate hands new entries to the replicas, now and from time to time.
 func (w *world) replicate() {
 	w.handOver()
-	w.after(5, w.replicate)
+	w.After(5, w.replicate)
 }
 
 // handOver hands new entries to the replicas.
@@ -520,7 +482,7 @@
 		}
 		s.log = append(s.log[:common:common], p.log[common:]...)
 		want := len(s.log)
-		w.after(applyLag+timekeeper.Millis(w.random.Intn(2*applyLag)), func() {
+		w.After(applyLag+timekeeper.Millis(w.random.Intn(2*applyLag)), func() {
 			if !s.primary && want <= len(s.log) {
 				s.applied = max(s.applied, want)
 			}
@@ -538,7 +500,7 @@
 			}
 		case multiplexer.Hangup:
 			if client := d.clients[c.Session]; client != nil {
-				w.after(w.hop(), client.lost)
+				w.After(w.hop(), client.lost)
 			}
 		case multiplexer.Open:
 			w.open(d, c)
@@ -557,7 +519,7 @@
 		case elector.Promote:
 			w.promote(d, c)
 		case elector.Reread:
-			w.after(w.hop(), func() { w.scanRows(d) })
+			w.After(w.hop(), func() { w.scanRows(d) })
 		}
 	}
 }
@@ -569,17 +531,17 @@
 
 func (w *world) open(d *fakeDaemon, c multiplexer.Open) {
 	s := w.server(c.Server.ID)
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		if !w.reaches(d, s) {
-			w.after(500, func() {
-				w.to(d, func() { w.carry(d, d.node.mux.Lost(w.now, c.Conn), nil) })
+			w.After(500, func() {
+				w.to(d, func() { w.carry(d, d.node.mux.Lost(w.Now(), c.Conn), nil) })
 			})
 			return
 		}
 		d.conns[c.Conn] = s
 		s.sessions[w.connID(d, c.Conn)] = &serverSession{values: map[string]string{}}
 		answer := multiplexer.Answer{Position: s.position()}
-		w.to(d, func() { w.carry(d, d.node.mux.Opened(w.now, c.Conn, answer), nil) })
+		w.to(d, func() { w.carry(d, d.node.mux.Opened(w.Now(), c.Conn, answer), nil) })
 	})
 }
 
@@ -593,12 +555,12 @@
 func (w *world) send(d *fakeDaemon, c multiplexer.Send) {
 	s := d.conns[c.Conn]
 	incarnation := d.incarnation
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		session := s.sessions[w.connID(d, c.Conn)]
 		if session == nil || !w.reaches(d, s) || d.incarnation != incarnation {
 			return
 		}
-		w.after(2+timekeeper.Millis(w.random.Intn(10)), func() {
+		w.After(2+timekeeper.Millis(w.random.Intn(10)), func() {
 			if s.down || s.sessions[w.connID(d, c.Conn)] != session {
 				return
 			}
@@ -609,7 +571,7 @@
 			if !w.reaches(d, s) || s.mute && w.random.Intn(4) == 0 {
 				return
 			}
-			w.to(d, func() { w.carry(d, d.node.mux.Answered(w.now, c.Conn, answers), nil) })
+			w.to(d, func() { w.carry(d, d.node.mux.Answered(w.Now(), c.Conn, answers), nil) })
 		})
 	})
 }
@@ -744,175 +706,3 @@
 		}
 	}
 }
-
-// fakeClient is a caller that runs one operation after the other.
-type fakeClient struct {
-	w             *world
-	name          string
-	database      string
-	daemon        *fakeDaemon
-	session       uint64
-	steps         []multiplexer.Statement
-	writes        []string
-	statement     string
-	asked         timekeeper.Millis
-	inTransaction bool
-	lacks         string
-	number        int
-	gone          bool
-	sent          bool
-}
-
-// connect opens a session at a daemon that runs.
-func (w *world) connect(name, database string) {
-	d := w.daemons[w.random.Intn(len(w.daemons))]
-	if !d.up || !d.node.mux.Ready() || w.now < d.frozenUntil {
-		w.after(100, func() { w.connect(name, database) })
-		return
-	}
-	d.number++
-	if a := d.node.mux.Connect(d.number, database, name); a.Code != multiplexer.CodeOK {
-		w.after(100, func() { w.connect(name, database) })
-		return
-	}
-	c := &fakeClient{w: w, name: name + "-" + strconv.FormatUint(d.number, 10) + d.name, database: database, daemon: d, session: d.number}
-	d.clients[d.number] = c
-	c.run(multiplexer.Statement{ID: c.name + "-set", Kind: multiplexer.KindSet, Name: c.value(), Args: c.name})
-}
-
-// value is the name of the session value that the client sets.
-func (c *fakeClient) value() string {
-	return "who" + c.database
-}
-
-func (c *fakeClient) run(st multiplexer.Statement) {
-	c.statement = st.ID
-	c.sent = c.sent || st.Kind == multiplexer.KindCommit || st.Kind == multiplexer.KindWrite && !c.inTransaction
-	c.w.to(c.daemon, func() {
-		if !c.gone {
-			c.w.carry(c.daemon, c.daemon.node.mux.Run(c.w.now, c.session, st), nil)
-		}
-	})
-}
-
-// operation starts the next operation.
-func (c *fakeClient) operation() {
-	w := c.w
-	c.number++
-	c.asked = w.now
-	c.sent = false
-	c.steps, c.writes = nil, nil
-	id := func() string {
-		w.writes++
-		return c.name + "-" + strconv.Itoa(w.writes)
-	}
-	write := func() multiplexer.Statement {
-		name := id()
-		c.writes = append(c.writes, name)
-		return multiplexer.Statement{ID: name, Kind: multiplexer.KindWrite, Args: name}
-	}
-	read := func() multiplexer.Statement {
-		return multiplexer.Statement{ID: id(), Kind: multiplexer.KindRead, Args: "x"}
-	}
-	writes := c.database != "bounded"
-	switch choice := w.random.Intn(10); {
-	case choice < 5:
-		c.steps = append(c.steps, read())
-	case choice < 7 && writes:
-		c.steps = append(c.steps, write())
-	case choice < 8 || !writes:
-		c.steps = append(c.steps, multiplexer.Statement{ID: id(), Kind: multiplexer.KindBeginRead}, read(), read(), multiplexer.Statement{ID: id(), Kind: multiplexer.KindCommit})
-	default:
-		end := multiplexer.KindCommit
-		if w.random.Intn(5) == 0 {
-			end = multiplexer.KindRollback
-		}
-		c.steps = append(c.steps, multiplexer.Statement{ID: id(), Kind: multiplexer.KindBegin}, read(), write(), multiplexer.Statement{ID: id(), Kind: end})
-	}
-	c.next()
-}
-
-func (c *fakeClient) next() {
-	if c.gone {
-		return
-	}
-	if len(c.steps) == 0 {
-		c.w.after(timekeeper.Millis(10+c.w.random.Intn(60)), func() {
-			if !c.gone {
-				c.operation()
-			}
-		})
-		return
-	}
-	st := c.steps[0]
-	c.steps = c.steps[1:]
-	c.run(st)
-}
-
-// answered takes the answer to the client's statement.
-func (c *fakeClient) answered(a multiplexer.Answer) {
-	w := c.w
-	if a.Code == multiplexer.CodeOK {
-		if a.Signature != "" && c.lacks != "" {
-			w.fault("stale: %s", c.lacks)
-		}
-		c.lacks = ""
-		c.inTransaction = a.State == multiplexer.StateTransaction
-		if len(c.steps) == 0 && a.Signature != "" {
-			w.served++
-			c.acknowledge(w.server(a.Signature))
-		}
-		c.next()
-		return
-	}
-	w.failed++
-	c.lacks = ""
-	c.steps = nil
-	switch a.Code {
-	case multiplexer.CodeNotRun, multiplexer.CodeAborted, multiplexer.CodeLagging, multiplexer.CodeReadOnly:
-		for _, write := range c.writes {
-			w.promised[write] = true
-			for _, s := range w.servers {
-				if s.primary && w.contains(s, write) {
-					w.fault("write %s took effect though its caller was told %v", write, a.Code)
-				}
-			}
-		}
-	}
-	c.inTransaction = a.State == multiplexer.StateTransaction
-	if a.State == multiplexer.StateFailed {
-		c.inTransaction = false
-		c.steps = []multiplexer.Statement{{ID: c.name + "-end", Kind: multiplexer.KindRollback}}
-		c.writes = nil
-	}
-	w.after(50, c.next)
-}
-
-// acknowledge notes that the operation's writes are acknowledged.
-func (c *fakeClient) acknowledge(s *fakeServer) {
-	w := c.w
-	if !c.sent {
-		return
-	}
-	for _, write := range c.writes {
-		for _, other := range w.servers {
-			if other.primary && other.term > s.term && !w.contains(other, write) {
-				w.fault("write %s is acknowledged from %s after %s leads term %d without it", write, s.id, other.id, other.term)
-			}
-		}
-		w.acked[write] = ackedWrite{at: w.now, server: s, client: c.name}
-	}
-}
-
-// lost ends the client's session; it connects again.
-func (c *fakeClient) lost() {
-	if c.gone {
-		return
-	}
-	c.gone = true
-	delete(c.daemon.clients, c.session)
-	if c.daemon.up {
-		c.w.carry(c.daemon, c.daemon.node.mux.Disconnect(c.w.now, c.session), nil)
-	}
-	c.w.after(100, func() { c.w.connect(c.name[:2], c.database) })
-}
