--- a/proxier/run.go
+++ b/proxier/run.go
@@ -33,7 +33,9 @@
 // Run runs the daemon until ctx ends and its goroutines have ended. Other daemons
 // are answered on the listener.
 func (p *Proxy) Run(ctx context.Context, peers net.Listener) {
+	p.mu.Lock()
 	p.ctx = ctx
+	p.mu.Unlock()
 	served := make(chan struct{})
 	go detourer.Serve(ctx, peers, p.direct(), served)
 	p.log.Decide(observer.Decision{Part: "daemon", Outcome: "start", Inputs: []observer.Field{
--- a/proxier/session.go
+++ b/proxier/session.go
@@ -11,6 +11,8 @@
 	id      uint64
 	answers chan multiplexer.Answer
 	hangUp  func()
+	// ended is closed when the daemon has ended.
+	ended <-chan struct{}
 }
 
 // Connect opens a session. hangUp is called, without waiting for anything, when
@@ -23,7 +25,7 @@
 	if answer.Code != multiplexer.CodeOK {
 		return nil, answer
 	}
-	s := &Session{proxy: p, id: p.number, answers: make(chan multiplexer.Answer, 1), hangUp: hangUp}
+	s := &Session{proxy: p, id: p.number, answers: make(chan multiplexer.Answer, 1), hangUp: hangUp, ended: p.ctx.Done()}
 	p.sessions[s.id] = s
 	return s, answer
 }
@@ -32,7 +34,18 @@
 // statement's time limit has passed.
 func (s *Session) Run(st multiplexer.Statement) multiplexer.Answer {
 	s.proxy.decide(func(now timekeeper.Millis) []multiplexer.Command { return s.proxy.mux.Run(now, s.id, st) })
-	return <-s.answers
+	return s.await()
+}
+
+// await returns the answer to the session's statement. A daemon that has ended
+// answers nothing any more.
+func (s *Session) await() multiplexer.Answer {
+	select {
+	case answer := <-s.answers:
+		return answer
+	case <-s.ended:
+		return multiplexer.Answer{Code: multiplexer.CodeInDoubt, Text: "the daemon has ended"}
+	}
 }
 
 // Close ends the session.
@@ -48,5 +61,5 @@
 // open transaction.
 func (s *Session) Reject(text string) multiplexer.Answer {
 	s.proxy.decide(func(now timekeeper.Millis) []multiplexer.Command { return s.proxy.mux.Reject(now, s.id, text) })
-	return <-s.answers
+	return s.await()
 }
