Refuse what will not start within half of its time limit

Cause: expected waits counted the servers' slots, which other daemons fill too, and work was held to the end of its time limit: in a flood of browsing a refusal took 1185 ms of 1200, and 277 of 5000 ended by the time limit.

The test: 600 ms at most, none ended by the time limit.

--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -18,6 +18,9 @@
 const (
 	// attemptLimit bounds how often one statement is sent to servers.
 	attemptLimit = 4
+	// waitShare is the part of its time limit, as one in so many, that a statement
+	// may wait for a server: a caller that is refused then has time to go elsewhere.
+	waitShare = 2
 	// retryEarned is the part of a retry that each statement adds to the budget.
 	retryEarned = 0.2
 	// retryLimit is the greatest number of retries saved up.
@@ -212,9 +215,9 @@
 	cost := g.costs[rankOf(j.database)]
 	j.item = scheduler.Item{
 		ID: j.id, Customer: j.session.account, Rank: rankOf(j.database), Lane: j.lane, Cost: cost, Arrived: j.arrived,
-		Deadline: j.due - timekeeper.Millis(cost),
+		Deadline: j.arrived + j.database.Timeout/waitShare,
 	}
-	g.queue.SetCapacity(j.lane, g.capacity(now, j.lane))
+	g.queue.SetCapacity(j.lane, g.capacity(now, j.lane, j))
 	if err := g.queue.Push(now, j.item); err != nil {
 		after := retryShort
 		if e, ok := err.(*scheduler.Error); ok {
@@ -255,13 +258,16 @@
 	j.session.job = nil
 }
 
-// capacity returns how many statements can run at once in a lane.
-func (g *group) capacity(now timekeeper.Millis, lane scheduler.Lane) int {
+// capacity returns how many statements of a rank this daemon can have running at
+// once in a lane: what it may send, not the servers' slots, which others fill too.
+func (g *group) capacity(now timekeeper.Millis, lane scheduler.Lane, j *job) int {
 	total := 0
 	for _, s := range g.servers {
-		if s.usable(now, g.mux.settings.Forget) && (lane == scheduler.LaneAny || g.isLead(s)) {
-			total += min(max(s.Slots, 1), g.mux.share(g))
+		lead := g.isLead(s)
+		if !s.usable(now, g.mux.settings.Forget) || lane == scheduler.LanePrimary && !lead || !lead && s.lagNow(now) > j.database.MaxAge {
+			continue
 		}
+		total += s.limit(g, rankOf(j.database))
 	}
 	return total
 }
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -30,6 +30,9 @@
 	if browse.served < 500 {
 		t.Errorf("browse: %+v, want a tenth of 5000 served", browse)
 	}
+	if browse.slowestRefusal > 610 {
+		t.Errorf("browse: a refusal took %d ms, want half of the time limit of 1200 ms at most, and a tick", browse.slowestRefusal)
+	}
 	if browse.served+browse.refused+browse.failed != 5000 || browse.failed > 0 {
 		t.Errorf("browse: %+v, want each of 5000 served or refused", browse)
 	}
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -112,15 +112,21 @@
 	return s.leavingSince == 0 || now < s.leavingSince+forget
 }
 
-// free returns how many more statements of a rank the server takes from this
-// daemon. Its own queue knows no ranks: less urgent work is kept back here while
-// it would fill that queue.
-func (s *server) free(g *group, rank scheduler.Rank) int {
+// limit is how many statements of a rank this daemon may have running on the
+// server. The server's own queue knows no ranks: less urgent work is kept back
+// here while it would fill that queue.
+func (s *server) limit(g *group, rank scheduler.Rank) int {
 	limit := g.mux.share(g)
 	if rank > scheduler.RankUrgent {
 		limit = min(limit, max(1, (queueFactor*max(s.Slots, 1)+g.mux.hosts-1)/g.mux.hosts))
 	}
-	return limit - s.running
+	return limit
+}
+
+// free returns how many more statements of a rank the server takes from this
+// daemon.
+func (s *server) free(g *group, rank scheduler.Rank) int {
+	return s.limit(g, rank) - s.running
 }
 
 func (s *server) candidate(now timekeeper.Millis, g *group, rank scheduler.Rank, lead bool) router.Candidate {
