--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"slices"
 	"sync"
@@ -26,7 +28,7 @@
 
 // callLimit limits one call that is served for another daemon, beyond what the
 // call itself asks to wait.
-const callLimit = time.Second
+const callLimit = askLimit
 
 // connectionLimit limits the life of another daemon's connection.
 const connectionLimit = 15 * time.Second
@@ -80,6 +82,10 @@
 	Share func(ctx context.Context, question Question) (Shared, error)
 }
 
+// quiet keeps the library from logging that an asker did not wait for its answer;
+// the asker logs what it lost.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Serve answers other daemons until ctx ends, and closes done after that.
 func Serve(ctx context.Context, listener net.Listener, store Store, done chan<- struct{}) {
 	defer close(done)
@@ -102,7 +108,7 @@
 			call, cancel := context.WithTimeout(ctx, connectionLimit)
 			defer cancel()
 			handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(store.handle))
-			rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), handler)
+			rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), handler, quiet)
 			select {
 			case <-call.Done():
 			case <-rpc.DisconnectNotify():
@@ -148,6 +154,8 @@
 	mu    sync.Mutex
 	peers []string
 	next  int
+	// rested is until when nobody is asked after all that were asked failed.
+	rested time.Time
 }
 
 // New returns a detourer of the daemon whose address is self.
@@ -171,6 +179,9 @@
 const (
 	askLimit = 300 * time.Millisecond
 	tryLimit = 3
+	// restTime is how long nobody is asked after all that were asked failed: the
+	// store is away for all then, and questions would multiply.
+	restTime = 500 * time.Millisecond
 )
 
 // Scan reads a table through another daemon.
@@ -200,8 +211,11 @@
 // ask calls daemons one after the other until one answers.
 func (d *Detourer) ask(ctx context.Context, method string, params, result any) error {
 	d.mu.Lock()
-	peers, first := slices.Clone(d.peers), d.next
+	peers, first, resting := slices.Clone(d.peers), d.next, time.Now().Before(d.rested)
 	d.mu.Unlock()
+	if resting {
+		return &Error{Op: method, Kind: KindConnection, Text: "other daemons did not reach the store either"}
+	}
 	err := error(&Error{Op: method, Kind: KindNone, Text: "no other daemon is known"})
 	for i := range min(len(peers), tryLimit) {
 		peer := peers[(first+i)%len(peers)]
@@ -216,6 +230,9 @@
 			break
 		}
 	}
+	d.mu.Lock()
+	d.rested = time.Now().Add(restTime)
+	d.mu.Unlock()
 	return err
 }
 
@@ -229,7 +246,7 @@
 	if err != nil {
 		return false, &Error{Op: method, Kind: KindConnection, Text: err.Error()}
 	}
-	rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(refuse))
+	rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(refuse), quiet)
 	defer func() { _ = rpc.Close() }()
 	if err := rpc.Call(call, method, params, result); err != nil {
 		return true, &Error{Op: method, Kind: KindConnection, Text: err.Error()}
--- /dev/null
+++ b/platform_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// platformNames are names of the users' platform: its calls, tables, fields and
+// words on the wire.
+var platformNames = regexp.MustCompile(`rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|readyz|/failover|X-Lease-Holder|X-Fencing-Token|X-Instance-Id|` +
+	`expected_rev|set_keys|delete_keys|has_more|db_role|warmup_left_ms|max_staleness_ms|max_conns|sync_replicas|tx_idle_ms|timeout_ms|slo_ms|` +
+	`read_your_writes|bounded_stale|"(STARTUP|INDOUBT|MAXCONN|NOTFOUND|STEPDOWN)|fleetbench`)
+
+// TestPlatformNamesStayInTheAdapter holds the product to its own names.
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && (path == "platform" || path == "target" || path == "journal" || path == ".git"):
+			return filepath.SkipDir
+		case !strings.HasSuffix(path, ".go") || path == "platform_test.go":
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if name := platformNames.Find(text); name != nil {
+			t.Errorf("%s holds %q, a name of the platform", path, name)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOnlyTheCommandUsesTheAdapter keeps the product independent of the adapter.
+func TestOnlyTheCommandUsesTheAdapter(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}}: {{join .Imports " "}}`, "./...").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(string(out)), "\n") {
+		name, imports, _ := strings.Cut(line, ": ")
+		if strings.Contains(imports+" ", "/heatherhall/platform ") && !strings.HasSuffix(name, "cmd/heatherhall-edge") {
+			t.Errorf("%s imports the adapter", name)
+		}
+	}
+}
