Mark nobody as lost, and keep the share of connections, while the signs of life can't be read

Cause: a daemon that could not read the store for 7 s took the age of its last reading for the others' silence. Ruled out: a slow store (the registrations were applied at once, again and again, since several daemons marked them). Change: no marks, and the last number of hosts, while the signs of life were not read for two beats. Tests failed first.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -297,10 +297,15 @@
 	return nil
 }
 
+// blind reports whether the signs of life have not been read for so long that
+// nothing can be said of any daemon.
+func (e *Elector) blind(now timekeeper.Millis) bool {
+	return now-e.beatsAt > 2*e.settings.Beat
+}
+
 // SetBeats takes all daemons' signs of life.
 func (e *Elector) SetBeats(now timekeeper.Millis, beats map[string]Beat) {
-	// After a time without readings nothing can be said of any daemon.
-	blind := now-e.beatsAt > 2*e.settings.Beat
+	blind := e.blind(now)
 	e.beatsAt = now
 	for name, beat := range beats {
 		if blind || e.beats[name].beat != beat {
@@ -320,11 +325,13 @@
 	return found && now-seen.at < e.settings.Takeover
 }
 
-// Hosts returns the number of daemons that are registered and live.
+// Hosts returns the number of daemons that are registered and live. While the
+// signs of life can't be read, all that gave one before count as live.
 func (e *Elector) Hosts(now timekeeper.Millis) int {
 	count := 0
 	for name := range e.hosts {
-		if name == e.settings.Self.Name || e.live(now, name) {
+		_, known := e.beats[name]
+		if name == e.settings.Self.Name || e.live(now, name) || known && e.blind(now) {
 			count++
 		}
 	}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -1,6 +1,7 @@
 package elector_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/heatherhall/heatherhall/cataloger"
@@ -100,3 +101,68 @@
 		t.Errorf("%d hosts, want 3", got)
 	}
 }
+
+// marked returns the registrations that commands mark as lost.
+func marked(commands []elector.Command) []string {
+	var out []string
+	for _, command := range commands {
+		write, ok := command.(elector.Write)
+		if !ok {
+			continue
+		}
+		for _, row := range write.Tx.Set {
+			if strings.Contains(string(row.Value), `"retired":true`) {
+				out = append(out, row.Key)
+			}
+		}
+	}
+	return out
+}
+
+// TestMarksOfLostDaemons is about a daemon that could not read the store for a
+// while: it knows nothing of the others' signs of life then.
+func TestMarksOfLostDaemons(t *testing.T) {
+	other := elector.Row{Key: "host/d1", Version: 3, Value: []byte(`{"name":"d1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)}
+	tests := map[string]struct {
+		// beats are when the signs of life are read, and what d1's counts then.
+		beats  map[timekeeper.Millis]int64
+		marked bool
+	}{
+		"no sign of life, though the others' are read":   {beats: map[timekeeper.Millis]int64{1000: 1, 4000: 1, 7000: 1, 10_000: 1}, marked: true},
+		"the store is away, and back":                    {beats: map[timekeeper.Millis]int64{1000: 1, 10_500: 3}},
+		"the store is away, and the others are not back": {beats: map[timekeeper.Millis]int64{1000: 1, 10_500: 1}},
+		"all is well": {beats: map[timekeeper.Millis]int64{1000: 1, 4000: 2, 7000: 3, 10_000: 4}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := started(1000, other)
+			var got []string
+			for now := timekeeper.Millis(1000); now <= 11_000; now += 100 {
+				got = append(got, marked(e.Tick(now))...)
+				if count, read := test.beats[now]; read {
+					e.SetBeats(now, map[string]elector.Beat{"d1": {Incarnation: 1, Count: count}})
+				}
+			}
+			if len(got) > 0 != test.marked {
+				t.Errorf("marked %v, want a mark: %v", got, test.marked)
+			}
+		})
+	}
+}
+
+// TestHostsWhileTheStoreIsAway is about the servers' connections, which the
+// daemons share by their number: one that can't read the signs of life must not
+// take the others' share.
+func TestHostsWhileTheStoreIsAway(t *testing.T) {
+	e := started(1000, elector.Row{Key: "host/d1", Version: 3, Value: []byte(`{"name":"d1","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)})
+	e.SetBeats(1000, map[string]elector.Beat{"d1": {Count: 1}})
+	if got := e.Hosts(12_000); got != 2 {
+		t.Errorf("%d hosts while nothing can be read, want 2", got)
+	}
+	for now := timekeeper.Millis(12_000); now <= 21_000; now += 3000 {
+		e.SetBeats(now, map[string]elector.Beat{"d1": {Count: 1}})
+	}
+	if got := e.Hosts(21_000); got != 1 {
+		t.Errorf("%d hosts after the other's signs of life ended, want 1", got)
+	}
+}
--- a/elector/retire.go
+++ b/elector/retire.go
@@ -17,9 +17,9 @@
 // retire marks the registrations of daemons that give no sign of life, and
 // deletes them once they can't use any primary any more. A change of primary
 // would have to wait for each of them otherwise. The first live daemon by name
-// does so.
+// does so, unless it could not read the signs of life of late.
 func (e *Elector) retire(now timekeeper.Millis) {
-	if e.leaving || !e.registered() || now < e.retireDue || !e.firstLive(now) {
+	if e.leaving || !e.registered() || now < e.retireDue || e.blind(now) || !e.firstLive(now) {
 		return
 	}
 	e.retireDue = now + e.settings.Beat/2
