Claim the successor at the store before a promotion; never carry a change out twice

Cause: after it had ended a change, the holder of the duty still had readings from before its end (copies of the store that are seconds behind, while its feeds were silent). The same holds for a daemon that takes the duty over with old readings. Ruled out: the lease (all daemons rightly used term 2); the age check before a promotion (a reading 4.5 s old passes it). Change: before a promotion its holder writes the successor into the group's row, under the versions of that row and of the duty; old knowledge ends in a conflict. From then on no change is cancelled and no daemon objects. A change that this daemon ended is passed over until readings show its end. A daemon that registered after the announcement may not object: nobody waits for it.

--- a/elector/change.go
+++ b/elector/change.go
@@ -19,6 +19,7 @@
 	stageCollect
 	stageStepDown
 	stageChoose
+	stageClaim
 	stagePromote
 	stageConfirm
 )
@@ -38,9 +39,11 @@
 	accounts map[string]Account
 	pending  int
 	// round counts surveys, so that late answers to an old one are passed over.
-	round   int
-	due     timekeeper.Millis
-	chosen  string
+	round  int
+	due    timekeeper.Millis
+	chosen string
+	// claimed is when the claim for the chosen server was sent that the store took.
+	claimed timekeeper.Millis
 	confirm timekeeper.Millis
 }
 
@@ -75,6 +78,10 @@
 	if reason != g.reason {
 		g.reason, g.since = reason, now
 	}
+	behind := g.written > 0
+	if behind && g.change.stage == stageNone || g.reign.Change != "" && g.reign.Number <= g.finished {
+		return
+	}
 	if g.reign.Change != "" {
 		reason = g.reign.Change
 	}
@@ -94,7 +101,7 @@
 		e.check(now, g, reason)
 	case g.change.stage == stageNone || g.change.stage == stageCheck && g.reign.Change != "":
 		g.change = change{stage: stageCollect, number: g.reign.Number, reason: g.reign.Change, announced: now, started: now}
-	case g.reign.Change == "" && g.change.stage > stageCheck:
+	case g.reign.Change == "" && g.change.stage > stageCheck && !behind:
 		g.change = change{}
 	case g.change.stage == stageCollect:
 		e.collect(now, g)
@@ -102,6 +109,8 @@
 		e.stepDown(now, g)
 	case g.change.stage == stageChoose:
 		e.choose(now, g)
+	case g.change.stage == stageClaim:
+		e.claim(now, g)
 	case g.change.stage == stagePromote:
 		e.promote(now, g)
 	case g.change.stage == stageConfirm:
@@ -132,7 +141,7 @@
 	e.write(Transaction{
 		Expect: []Row{{Key: dutyKey, Version: e.rows[dutyKey].Version}},
 		Set:    []Row{encode(dutyKey, next)},
-	}, func(_ timekeeper.Millis, result Result) {
+	}, func(_ timekeeper.Millis, result Result, _ int64) {
 		e.dutyBusy = false
 		e.log("duty", observer.F("result", result.String()))
 		e.out = append(e.out, Reread{})
@@ -211,9 +220,18 @@
 // writeReign replaces a group's row while this daemon has the duty.
 func (e *Elector) writeReign(g *group, next Reign, done func(timekeeper.Millis, Result)) {
 	e.write(Transaction{
-		Expect: []Row{{Key: reignPrefix + g.name, Version: g.reignVersion}, {Key: dutyKey, Version: e.rows[dutyKey].Version}},
+		Expect: []Row{{Key: reignPrefix + g.name, Version: max(g.reignVersion, g.written)}, {Key: dutyKey, Version: e.rows[dutyKey].Version}},
 		Set:    []Row{encode(reignPrefix+g.name, next)},
-	}, done)
+	}, func(now timekeeper.Millis, result Result, version int64) {
+		g.written = 0
+		if result == Applied {
+			g.written = version
+		}
+		if result == Applied && next.Change == "" {
+			g.finished = next.Number
+		}
+		done(now, result)
+	})
 }
 
 // collect waits until every registered daemon has released the primary or may
@@ -228,14 +246,18 @@
 			missing = append(missing, name)
 			continue
 		}
-		if ack.Objects {
+		if ack.Objects && g.reign.Successor == "" {
 			e.cancel(now, g, "a daemon reaches the primary: "+name)
 			return
 		}
+		if ack.Objects {
+			missing = append(missing, name)
+			continue
+		}
 		c.seen = sequencer.Max(c.seen, ack.Seen)
 	}
 	if len(missing) > 0 && !lapsed {
-		if c.reason == ReasonHandover && now-c.announced > handoverWait {
+		if c.reason == ReasonHandover && g.reign.Successor == "" && now-c.announced > handoverWait {
 			e.cancel(now, g, "a daemon does not answer: "+missing[0])
 			g.pausedUntil = now + e.settings.Takeover
 		}
@@ -260,7 +282,7 @@
 			tx.Delete = append(tx.Delete, hostPrefix+name)
 		}
 	}
-	e.write(tx, func(_ timekeeper.Millis, result Result) {
+	e.write(tx, func(_ timekeeper.Millis, result Result, _ int64) {
 		e.log("registrations of lapsed daemons deleted", observer.F("result", result.String()))
 	})
 }
@@ -379,14 +401,45 @@
 		}
 		wanted := sequencer.Max(c.final, c.seen)
 		if account.Received.Before(wanted) && now-c.announced < e.settings.Patience {
-			if old, registered := e.byID[g.reign.Primary]; registered && c.reason == ReasonFailure {
+			if old, registered := e.byID[g.reign.Primary]; registered && c.reason == ReasonFailure && g.reign.Successor == "" {
 				e.revive(now, g, old)
 			}
 			return
 		}
 		e.log("chooses a successor", observer.F("group", g.name), observer.F("server", best), observer.F("received", account.Received.String()),
 			observer.F("final", c.final.String()), observer.F("seen", c.seen.String()), observer.F("loses", max(wanted.Offset-account.Received.Offset, 0)))
-		c.chosen, c.stage, c.due = best, stagePromote, now
+		c.chosen, c.stage, c.due = best, stageClaim, now
+		e.claim(now, g)
+	})
+}
+
+// claim writes whom this daemon is about to promote. The store takes that only
+// from the holder of the duty, and only if the change is the one that this daemon
+// knows: its readings may be behind.
+func (e *Elector) claim(now timekeeper.Millis, g *group) {
+	c := &g.change
+	c.due = now + e.settings.Takeover
+	if g.reign.Change == "" || g.reign.Number != c.number {
+		c.due = now + resumeLeast
+		e.out = append(e.out, Reread{})
+		return
+	}
+	number, sent := c.number, now
+	next := g.reign
+	next.Successor = c.chosen
+	e.writeReign(g, next, func(now timekeeper.Millis, result Result) {
+		if g.change.number != number || g.change.stage != stageClaim {
+			return
+		}
+		c.due = now
+		if result != Applied {
+			e.log("the store does not take the successor", observer.F("group", g.name), observer.F("server", c.chosen),
+				observer.F("number", number), observer.F("result", result.String()))
+			c.stage, c.due = stageChoose, now+retryInterval
+			e.out = append(e.out, Reread{})
+			return
+		}
+		c.claimed, c.stage = sent, stagePromote
 		e.promote(now, g)
 	})
 }
@@ -405,9 +458,8 @@
 // promote asks the platform for the change.
 func (e *Elector) promote(now timekeeper.Millis, g *group) {
 	c := &g.change
-	if now-e.readAt > dutyFresh {
-		c.due = now + resumeLeast
-		e.out = append(e.out, Reread{})
+	if now-c.claimed > dutyFresh {
+		c.stage, c.due = stageClaim, now
 		return
 	}
 	c.due = now + 2*e.settings.Suspect
@@ -431,7 +483,7 @@
 	}})
 }
 
-// dutyFresh is how recently the rows must have been read when a promotion is
+// dutyFresh is how recently the claim must have been sent when a promotion is
 // asked for, so that a daemon that was suspended does not act on an old duty.
 const dutyFresh timekeeper.Millis = 4500
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -113,7 +113,7 @@
 	byID    map[string]cataloger.Server
 
 	number  uint64
-	writing map[uint64]func(now timekeeper.Millis, result Result)
+	writing map[uint64]func(now timekeeper.Millis, result Result, version int64)
 	asking  map[uint64]func(now timekeeper.Millis, account Account, err error)
 	posting map[uint64]func(now timekeeper.Millis, err error)
 
@@ -136,7 +136,7 @@
 		settings: settings, deps: deps,
 		rows: map[string]Row{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
 		retired: map[string]retirement{}, beats: map[string]beatSeen{}, groups: map[string]*group{}, byID: map[string]cataloger.Server{},
-		writing: map[uint64]func(timekeeper.Millis, Result){},
+		writing: map[uint64]func(timekeeper.Millis, Result, int64){},
 		asking:  map[uint64]func(timekeeper.Millis, Account, error){},
 		posting: map[uint64]func(timekeeper.Millis, error){},
 	}
@@ -152,7 +152,7 @@
 	e.deps.Log(observer.Decision{Part: "elector", Outcome: outcome, Inputs: fields})
 }
 
-func (e *Elector) write(tx Transaction, done func(timekeeper.Millis, Result)) {
+func (e *Elector) write(tx Transaction, done func(now timekeeper.Millis, result Result, version int64)) {
 	e.number++
 	e.writing[e.number] = done
 	e.out = append(e.out, Write{ID: e.number, Tx: tx})
@@ -164,12 +164,13 @@
 	e.out = append(e.out, Inspect{ID: e.number, Server: server, Order: order})
 }
 
-// Written tells what came of a Write.
-func (e *Elector) Written(now timekeeper.Millis, id uint64, result Result) []Command {
+// Written tells what came of a Write, and the store's version after it; 0 where
+// that is not known.
+func (e *Elector) Written(now timekeeper.Millis, id uint64, result Result, version int64) []Command {
 	done := e.writing[id]
 	delete(e.writing, id)
 	if done != nil {
-		done(now, result)
+		done(now, result, version)
 	}
 	return e.take()
 }
@@ -280,6 +281,9 @@
 		if !seen[name] {
 			g.reign, g.reignVersion = Reign{}, 0
 		}
+		if e.version >= g.written {
+			g.written = 0
+		}
 	}
 	e.step(now)
 }
@@ -414,7 +418,7 @@
 	e.registering = true
 	e.registerDue = now + retryInterval
 	row := encode(hostPrefix+e.settings.Self.Name, e.settings.Self)
-	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result) {
+	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result, _ int64) {
 		e.registering = false
 		e.log("registration", observer.F("result", result.String()))
 		e.out = append(e.out, Reread{})
@@ -425,7 +429,7 @@
 // now on.
 func (e *Elector) Leave() []Command {
 	e.leaving = true
-	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result) {})
+	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result, int64) {})
 	return e.take()
 }
 
@@ -454,7 +458,7 @@
 	if e.read && e.registered() && !e.leaving {
 		lead.Until = e.readAt + e.settings.Lease
 	}
-	if g.reign.Change == "" || g.objected == g.reign.Number {
+	if g.reign.Change == "" || g.objected == g.reign.Number && g.reign.Successor == "" {
 		return lead
 	}
 	lead.Held = true
--- a/elector/group.go
+++ b/elector/group.go
@@ -35,6 +35,11 @@
 	answerDue     timekeeper.Millis
 
 	change change
+	// written is the store's version after this daemon's last change of the group's
+	// row, until readings have reached it, and finished the number of the last
+	// change of primary that this daemon ended.
+	written  int64
+	finished int64
 	// pausedUntil is when this daemon may announce a change again.
 	pausedUntil timekeeper.Millis
 	// mendedUntil is until when failing statements are no reason for a change.
@@ -79,11 +84,15 @@
 		return
 	}
 	signs := e.deps.Signs(g.name, g.primary())
+	mayObject := e.mayObject(g)
+	if g.objected == number && !mayObject {
+		g.objected, g.answered = 0, 0
+	}
 	if g.released != number && g.objected != number {
-		if g.reign.Change == ReasonFailure && e.askFirst(now, g, signs) {
+		if mayObject && e.askFirst(now, g, signs) {
 			return
 		}
-		if g.reign.Change == ReasonFailure && signs.Heard > 0 && now-signs.Heard < e.settings.Alive {
+		if mayObject && signs.Heard > 0 && now-signs.Heard < e.settings.Alive {
 			g.objected = number
 			e.log("objects to a change: the primary answers", observer.F("group", g.name), observer.F("number", number),
 				observer.F("heard", int64(now-signs.Heard)))
@@ -102,7 +111,7 @@
 	g.answering = true
 	g.answerDue = now + retryInterval
 	ack := Ack{Incarnation: e.settings.Self.Incarnation, Number: number, Objects: g.objected == number, Seen: signs.Seen}
-	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result) {
+	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result, _ int64) {
 		g.answering = false
 		if result == Applied {
 			g.answered = number
@@ -110,6 +119,15 @@
 	})
 }
 
+// mayObject reports whether this daemon may keep the primary in spite of a change
+// that is under way: the primary counts as failed, no successor is asked for yet,
+// and the change waits for this daemon, which was registered when it was
+// announced.
+func (e *Elector) mayObject(g *group) bool {
+	registered := e.rows[hostPrefix+e.settings.Self.Name].Version
+	return g.reign.Change == ReasonFailure && g.reign.Successor == "" && registered > 0 && registered < g.reignVersion
+}
+
 // askLimit is how long a primary is waited for that this daemon has had no reason
 // to call of late.
 const askLimit timekeeper.Millis = 400
@@ -130,7 +148,7 @@
 	}
 	g.asked = number
 	e.inspect(server, Order{}, func(now timekeeper.Millis, account Account, err error) {
-		if g.reign.Number != number || g.released == number {
+		if g.reign.Number != number || g.released == number || !e.mayObject(g) {
 			return
 		}
 		if err != nil || !account.Primary {
--- a/elector/retire.go
+++ b/elector/retire.go
@@ -32,7 +32,7 @@
 			if seen, found := e.beats[name]; found && now-seen.at > e.settings.Takeover {
 				host.Retired = true
 				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(now-seen.at)))
-				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result) {})
+				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result, int64) {})
 			}
 			continue
 		}
@@ -44,7 +44,7 @@
 		if now-marked.at > e.settings.Lease+e.settings.Slack {
 			e.log("registration deleted", observer.F("host", name))
 			delete(e.retired, name)
-			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result) {})
+			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result, int64) {})
 		}
 	}
 }
--- a/elector/row.go
+++ b/elector/row.go
@@ -98,6 +98,9 @@
 	Number int64 `json:"number"`
 	// Change is the reason of the change under way; empty for none.
 	Change Reason `json:"change,omitempty"`
+	// Successor is the server that is asked to lead the next term. From then on
+	// nobody uses the primary any more and the change is not cancelled.
+	Successor string `json:"successor,omitempty"`
 	// Took is how long the last change took.
 	Took timekeeper.Millis `json:"took,omitempty"`
 }
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -162,9 +162,11 @@
 		case elector.Write:
 			p.spawn(func(ctx context.Context) {
 				call, cancel := p.call(ctx)
-				result := p.transact(call, TableOwn, c.Tx)
+				result, version := p.transact(call, TableOwn, c.Tx)
 				cancel()
-				p.elect(func(now timekeeper.Millis) []elector.Command { return p.elector.Written(now, c.ID, result) })
+				p.elect(func(now timekeeper.Millis) []elector.Command {
+					return p.elector.Written(now, c.ID, result, version)
+				})
 			})
 		case elector.Inspect:
 			p.spawn(func(ctx context.Context) {
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -343,7 +343,7 @@
 			return err
 		}
 		call, cancel := p.call(ctx)
-		result := p.transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
+		result, _ := p.transact(call, TableBeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
 		cancel()
 		rows, _, err := p.scan(ctx, TableBeats, "store: beats")
 		if err != nil {
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -87,6 +87,17 @@
 		},
 		held: 3500, by: 26_000,
 	},
+	"readings from before its end do not carry a change out twice": {
+		faults: map[timekeeper.Millis]func(w *world){
+			start:       func(w *world) { w.servers[1].deaf = true },
+			start + 500: func(w *world) { w.handOver(); w.servers[0].down = true },
+			start + 600: func(w *world) {
+				w.whenLeads(w.servers[2], func() { w.servers[1].deaf, w.behind = false, 3000 })
+			},
+			start + 12_000: func(w *world) { w.behind = 0 },
+		},
+		leads: "s2", by: start + 14_000,
+	},
 	"the duty's holder is killed in the middle of a change": {
 		faults: map[timekeeper.Millis]func(w *world){
 			start:        func(w *world) { w.servers[0].down = true },
@@ -141,6 +152,15 @@
 	w.After(pause, func() { w.watchHeld(held) })
 }
 
+// whenLeads calls f once a server leads.
+func (w *world) whenLeads(s *fakeServer, f func()) {
+	if s.primary {
+		f()
+		return
+	}
+	w.After(10, func() { w.whenLeads(s, f) })
+}
+
 // leader returns the primary of the highest term that is up.
 func (w *world) leader() string {
 	best, term := "", int64(0)
--- a/proxier/simulation_test.go
+++ b/proxier/simulation_test.go
@@ -37,6 +37,8 @@
 	return []trouble{
 		{"store down", func(w *world) { w.down = true }, func(w *world) { w.down = false }},
 		{"store loses answers", func(w *world) { w.lossy = true }, func(w *world) { w.lossy = false }},
+		{"store's readings behind", func(w *world) { w.behind = 3000 }, func(w *world) { w.behind = 0 }},
+		{"store's readings fall behind with a promotion", func(w *world) { w.lapse = true }, func(w *world) { w.lapse, w.behind = false, 0 }},
 		{"daemon cut from the store", func(*world) { d.storeCut = true }, func(*world) { d.storeCut = false }},
 		{"daemon frozen", func(w *world) { d.frozenUntil = w.Now() + 2500 }, func(*world) {}},
 		{"daemon killed", func(w *world) { w.kill(d) }, func(w *world) { w.start(d) }},
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -102,12 +102,13 @@
 }
 
 // transact changes rows on the own path, or through another daemon where that is
-// known to fail or did nothing.
-func (p *Proxy) transact(ctx context.Context, table Table, tx elector.Transaction) elector.Result {
+// known to fail or did nothing. It returns the store's version after the change,
+// or 0.
+func (p *Proxy) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, int64) {
 	change := detourer.Change{Table: int(table), Transaction: tx}
 	if p.lost() {
 		if result := p.detourer.Transact(ctx, change); result == elector.Applied || result == elector.Conflict || len(tx.Expect) > 0 {
-			return result
+			return result, 0
 		}
 	}
 	sent := p.clock.Now()
@@ -117,7 +118,7 @@
 	}
 	p.setLost(result == elector.Refused || result == elector.Unsure)
 	if result == elector.Refused {
-		return p.detourer.Transact(ctx, change)
+		return p.detourer.Transact(ctx, change), 0
 	}
-	return result
+	return result, version
 }
--- a/proxier/world_test.go
+++ b/proxier/world_test.go
@@ -1,8 +1,10 @@
 package proxier
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 
@@ -87,6 +89,7 @@
 	storeCut    bool
 	// changed is when a fault of the daemon began or ended.
 	changed   timekeeper.Millis
+	proofs    *proofs
 	serverCut map[string]bool
 	conns     map[pooler.Conn]*fakeServer
 	clients   map[uint64]*fakeClient
@@ -101,6 +104,12 @@
 	version int64
 	down    bool
 	lossy   bool
+	// behind is by how much the copy of the store lags that answers readings; its
+	// feeds tell nothing then.
+	behind timekeeper.Millis
+	// lapse makes readings fall behind with the next promotion.
+	lapse   bool
+	past    []snapshot
 	servers []*fakeServer
 	daemons []*fakeDaemon
 	fence   int64
@@ -117,6 +126,16 @@
 	history []string
 }
 
+// snapshot is the store as it was at a time.
+type snapshot struct {
+	at      timekeeper.Millis
+	rows    map[string]elector.Row
+	version int64
+}
+
+// pastLimit is how long snapshots are kept; it exceeds any lag of a copy.
+const pastLimit timekeeper.Millis = 8000
+
 type ackedWrite struct {
 	at     timekeeper.Millis
 	server *fakeServer
@@ -140,9 +159,33 @@
 		w.start(d)
 	}
 	w.After(20, w.replicate)
+	w.After(20, w.keepPast)
 	return w
 }
 
+// keepPast keeps what the store held at times before now.
+func (w *world) keepPast() {
+	if n := len(w.past); n == 0 || w.past[n-1].version != w.version {
+		w.past = append(w.past, snapshot{at: w.Now(), rows: maps.Clone(w.rows), version: w.version})
+	}
+	for len(w.past) > 1 && w.past[1].at < w.Now()-pastLimit {
+		w.past = w.past[1:]
+	}
+	w.After(20, w.keepPast)
+}
+
+// read returns the store's rows and version as the copy that answers has them.
+func (w *world) read() (map[string]elector.Row, int64) {
+	if w.behind == 0 {
+		return w.rows, w.version
+	}
+	i, _ := slices.BinarySearchFunc(w.past, w.Now()-w.behind, func(s snapshot, at timekeeper.Millis) int { return cmp.Compare(s.at, at+1) })
+	if i == 0 {
+		return map[string]elector.Row{}, 0
+	}
+	return w.past[i-1].rows, w.past[i-1].version
+}
+
 func (w *world) note(format string, args ...any) {
 	w.history = append(w.history, fmt.Sprintf("%6d ", w.Now())+fmt.Sprintf(format, args...))
 	if len(w.history) > 400 {
@@ -183,6 +226,7 @@
 func (w *world) start(d *fakeDaemon) {
 	d.incarnation++
 	d.up = true
+	d.proofs = &proofs{}
 	d.serverCut = map[string]bool{}
 	d.conns = map[pooler.Conn]*fakeServer{}
 	d.clients = map[uint64]*fakeClient{}
@@ -255,9 +299,10 @@
 	return func(commands []multiplexer.Command, elections []elector.Command) { w.carry(d, commands, elections) }
 }
 
-func (w *world) ownRows(prefix string) []elector.Row {
+// tableRows returns a table's rows as of a version.
+func tableRows(all map[string]elector.Row, prefix string) []elector.Row {
 	var out []elector.Row
-	for key, row := range w.rows {
+	for key, row := range all {
 		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
 			row.Key = key[len(prefix):]
 			out = append(out, row)
@@ -273,17 +318,21 @@
 		if !w.storeFor(d) {
 			return
 		}
-		rows, version := w.ownRows("own/"), w.version
-		w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.SetRows(w.Now(), asked, rows, version))) })
+		all, version := w.read()
+		rows := tableRows(all, "own/")
+		w.to(d, func() {
+			proven := d.proofs.readAt(asked, version)
+			w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.SetRows(w.Now(), proven, rows, version)))
+		})
 	})
 }
 
 // feedRows hands changed rows over, without making the reading any fresher.
 func (w *world) feedRows(d *fakeDaemon) {
-	if !w.storeFor(d) {
+	if !w.storeFor(d) || w.behind > 0 {
 		return
 	}
-	rows, version := w.ownRows("own/"), w.version
+	rows, version := tableRows(w.rows, "own/"), w.version
 	w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.ChangeRows(w.Now(), rows, version))) })
 }
 
@@ -293,8 +342,10 @@
 	}
 	w.version++
 	w.rows["beat/"+d.name] = elector.Row{Version: w.version}
+	d.proofs.add(w.Now(), w.version)
+	all, _ := w.read()
 	beats := map[string]elector.Beat{}
-	for _, row := range w.ownRows("beat/") {
+	for _, row := range tableRows(all, "beat/") {
 		beats[row.Key] = elector.Beat{Count: row.Version}
 	}
 	w.to(d, func() { d.node.elector.SetBeats(w.Now(), beats) })
@@ -319,11 +370,15 @@
 }
 
 func (w *world) write(d *fakeDaemon, c elector.Write) {
-	incarnation := d.incarnation
+	incarnation, sent := d.incarnation, w.Now()
 	done := func(result elector.Result) {
+		version := w.version
 		w.to(d, func() {
 			if d.incarnation == incarnation {
-				w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Written(w.Now(), c.ID, result)))
+				if result == elector.Applied {
+					d.proofs.add(sent, version)
+				}
+				w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Written(w.Now(), c.ID, result, version)))
 			}
 		})
 	}
@@ -389,6 +444,9 @@
 			w.checkPromotion(p)
 			w.note("%s promotes %s with fence %d", p.Holder, s.id, p.Fence)
 			w.After(promoteTime, func() { w.take(s) })
+			if w.lapse {
+				w.After(promoteTime, func() { w.behind = 3000 })
+			}
 		}
 		w.to(d, func() { w.carryPair(d)(d.node.settle(w.Now(), d.node.elector.Promoted(w.Now(), c.ID, err))) })
 	})
