Read the store directly until the failure domain's reader was seen alive

Change: a daemon reads for others once its sign of life was seen to change. TestReader asked for a reader after one reading of the signs of life; it now asks for none then, and for one after the second. It failed first.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -88,6 +88,9 @@
 type beatSeen struct {
 	beat Beat
 	at   timekeeper.Millis
+	// moved says that the sign of life was seen to change: it is not one that a
+	// daemon left behind.
+	moved bool
 }
 
 // Elector is one daemon's decisions on who leads. It is not safe for concurrent
@@ -221,14 +224,15 @@
 }
 
 // Reader returns the address of the daemon that reads the store for the others of
-// this daemon's failure domain: the first live one by name. It is empty where
-// that is this daemon.
+// this daemon's failure domain: the first one by name whose sign of life was seen
+// to change. It is empty where that is this daemon, and where none is known: at
+// the start, the rows tell as well of daemons that are gone.
 func (e *Elector) Reader(now timekeeper.Millis) string {
 	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
 		if name == e.settings.Self.Name {
 			return ""
 		}
-		if host := e.hosts[name]; host.Domain == e.settings.Self.Domain && e.live(now, name) {
+		if host := e.hosts[name]; host.Domain == e.settings.Self.Domain && e.beats[name].moved && e.live(now, name) {
 			return host.Address
 		}
 	}
@@ -312,8 +316,8 @@
 	blind := e.blind(now)
 	e.beatsAt = now
 	for name, beat := range beats {
-		if blind || e.beats[name].beat != beat {
-			e.beats[name] = beatSeen{beat: beat, at: now}
+		if seen, known := e.beats[name]; blind || seen.beat != beat {
+			e.beats[name] = beatSeen{beat: beat, at: now, moved: known && seen.beat != beat}
 		}
 	}
 	for name := range e.beats {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -91,6 +91,10 @@
 		elector.Row{Key: "host/b9", Version: 3, Value: []byte(`{"name":"b9","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)},
 		elector.Row{Key: "host/c1", Version: 3, Value: []byte(`{"name":"c1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)})
 	e.SetBeats(1000, map[string]elector.Beat{"b9": {Count: 1}, "c1": {Count: 1}})
+	if got := e.Reader(1500); got != "" {
+		t.Errorf("reader %q before its sign of life was seen to change, want this daemon", got)
+	}
+	e.SetBeats(2000, map[string]elector.Beat{"b9": {Count: 2}, "c1": {Count: 2}})
 	if got := e.Reader(2000); got != "10.0.0.9:1" {
 		t.Errorf("reader %q, want the live daemon of the same failure domain", got)
 	}
