Tell callers that a read did not run only if no attempt of it may have

Cause: found on reading the code: a read that was sent again after a lost answer, or whose answer was withheld for want of authority, ended as 'not run' when no server was left, though a server had run it. Change: such a read ends as 'failed'; the time to come back is told as before. Test: TestReadThatMayHaveRun failed first (four of six cases).

--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -240,6 +240,7 @@
 		return
 	}
 	if j.session.tx == nil {
+		j.ran = true
 		g.refuse(now, j, g.comeBack(now), "the server may no longer be the primary")
 		return
 	}
@@ -306,6 +307,7 @@
 // where that can help, and tells its caller otherwise.
 func (g *group) again(now timekeeper.Millis, j *job, s *server, a Answer) {
 	ran := a.Code == CodeFailed || a.Code == CodeTimeout || a.Code == CodeInDoubt
+	j.ran = j.ran || ran
 	if ran && (j.changes() || !j.repeatable()) {
 		g.end(now, j, a)
 		return
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -229,9 +229,14 @@
 	g.waiting[j.id] = j
 }
 
-// refuse tells a job's caller that it did not run.
+// refuse ends a job that can't be served now. Its caller is told that it did not
+// run only if no attempt of it may have.
 func (g *group) refuse(now timekeeper.Millis, j *job, after timekeeper.Millis, why string) {
-	g.end(now, j, Answer{Code: CodeNotRun, Text: why, RetryAfter: max(after, 1)})
+	code := CodeNotRun
+	if j.ran {
+		code = CodeFailed
+	}
+	g.end(now, j, Answer{Code: code, Text: why, RetryAfter: max(after, 1)})
 }
 
 // end finishes a job that no connection runs any more. A transaction in which a
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -43,6 +43,8 @@
 	avoided map[string]bool
 	// sent is when the caller's statement itself was sent.
 	sent timekeeper.Millis
+	// ran says that an earlier attempt ran, or may have.
+	ran bool
 }
 
 // queued returns how long the job waited before it was first sent.
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -230,3 +230,27 @@
 		t.Errorf("a statement after the limit: %+v, want it refused in a failed transaction", answer)
 	}
 }
+
+// TestReadThatMayHaveRun answers the pattern of a server that runs reads and loses
+// their answers: the caller is not told that its read did not run.
+func TestReadThatMayHaveRun(t *testing.T) {
+	for name, mute := range map[string][]string{"the primary alone": {"s0"}, "all servers": {"s0", "s1", "s2"}} {
+		for _, database := range []string{"urgent", "standard", "browse"} {
+			t.Run(name+", "+database, func(t *testing.T) {
+				b := newBed(t, 10)
+				b.run(200)
+				for _, id := range mute {
+					b.servers[id].mute = true
+				}
+				before := b.servers["s0"].ran + b.servers["s1"].ran + b.servers["s2"].ran
+				var got Answer
+				b.ask(database, database, aRead, func(a Answer, _ timekeeper.Millis) { got = a })
+				b.run(3000)
+				ran := b.servers["s0"].ran + b.servers["s1"].ran + b.servers["s2"].ran - before
+				if got.Code == CodeNotRun && ran > 0 {
+					t.Errorf("%v %q after %d runs", got.Code, got.Text, ran)
+				}
+			})
+		}
+	}
+}
