--- a/elector/elector.go
+++ b/elector/elector.go
@@ -334,12 +334,15 @@
 }
 
 // Hosts returns the number of daemons that are registered and live. While the
-// signs of life can't be read, all that gave one before count as live.
+// signs of life can't be read, those of this daemon's failure domain count that
+// gave one before: most cuts run between domains, so that they reach the same
+// servers.
 func (e *Elector) Hosts(now timekeeper.Millis) int {
 	count := 0
-	for name := range e.hosts {
+	for name, host := range e.hosts {
 		_, known := e.beats[name]
-		if name == e.settings.Self.Name || e.live(now, name) || known && e.blind(now) {
+		near := known && e.blind(now) && host.Domain == e.settings.Self.Domain
+		if name == e.settings.Self.Name || e.live(now, name) || near {
 			count++
 		}
 	}
