Follow the servers' registrations by feed; let one loop ask a store that refuses

Change: registrations come by feed, with a whole reading every 10 s; after a failed call a loop waits for the store's answer to any other, 1.2 s at most; the reader of the own rows goes on asking every 150 ms.

--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -34,19 +34,23 @@
 
 // Intervals are times between two readings of the store.
 type Intervals struct {
+	// Servers is the time between two whole readings of the registrations, whose
+	// changes come by feed.
 	Servers timekeeper.Millis
 	Rows    timekeeper.Millis
 	// Feed is how long the store may hold a question for changes.
 	Feed timekeeper.Millis
 	// Call limits any other call.
 	Call timekeeper.Millis
-	// Retry is the pause after a call that failed.
-	Retry timekeeper.Millis
+	// Retry is the pause after a call that failed. All loops but one pause for
+	// RetryMost, unless the store answers another of them before.
+	Retry     timekeeper.Millis
+	RetryMost timekeeper.Millis
 }
 
 // DefaultIntervals returns the times that settings start from.
 func DefaultIntervals() Intervals {
-	return Intervals{Servers: 2000, Rows: 1500, Feed: 2500, Call: 700, Retry: 150}
+	return Intervals{Servers: 10_000, Rows: 1500, Feed: 2500, Call: 700, Retry: 150, RetryMost: 1200}
 }
 
 // DefaultSettings returns the settings of a daemon on a host.
@@ -78,6 +82,8 @@
 	detourer *detourer.Detourer
 	cache    *cache
 	proofs   proofs
+	roster   roster
+	gate     *gate
 }
 
 // worker is the goroutine of one connection to a backend server.
@@ -94,6 +100,7 @@
 		reread: make(chan struct{}, 1), check: make(chan struct{}, 1), ctx: context.Background(),
 	}
 	p.cache = newCache(clock, shareAge)
+	p.gate = newGate()
 	p.detourer = detourer.New(settings.Host.Address, net.Dialer{})
 	p.detourer.AddPeers(settings.Seeds)
 	p.gauges()
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -6,7 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
@@ -42,7 +41,9 @@
 		observer.F("host", p.settings.Host.Name), observer.F("domain", p.settings.Host.Domain), observer.F("incarnation", p.settings.Host.Incarnation),
 	}})
 	p.spawn(p.feedCatalog)
+	p.spawn(p.feedServers)
 	p.spawn(p.scanServers)
+	p.spawn(p.ageServers)
 	p.spawn(p.scanRows)
 	p.spawn(p.feedRows)
 	p.spawn(p.beat)
@@ -136,16 +137,17 @@
 	return rows, asked, nil
 }
 
-// every calls f at an interval, sooner after a failure, until ctx ends.
+// every calls f at an interval, which asks the store, until ctx ends. After a
+// failure it waits for the store to answer any loop.
 func (p *Proxy) every(ctx context.Context, interval timekeeper.Millis, f func() error) {
-	for {
-		pause := interval
+	retry, most := p.settings.Intervals.Retry, p.settings.Intervals.RetryMost
+	for goesOn := true; goesOn; {
 		if f() != nil {
-			pause = p.settings.Intervals.Retry
-		}
-		if !sleep(ctx, pause.Duration()) {
-			return
+			goesOn = p.gate.wait(ctx, retry.Duration(), most.Duration())
+			continue
 		}
+		p.gate.pass()
+		goesOn = sleep(ctx, interval.Duration())
 	}
 }
 
@@ -292,6 +294,7 @@
 		pause := p.settings.Intervals.Rows
 		rows, asked, err := p.scan(ctx, TableOwn, "store: rows")
 		if err == nil {
+			p.gate.pass()
 			p.setRows(rows, asked)
 		} else {
 			pause = p.settings.Intervals.Retry
@@ -305,34 +308,6 @@
 	}
 }
 
-func (p *Proxy) scanServers(ctx context.Context) {
-	bad := map[string]int64{}
-	p.every(ctx, p.settings.Intervals.Servers, func() error {
-		rows, _, err := p.scan(ctx, TableServers, "store: servers")
-		if err != nil {
-			return err
-		}
-		servers := make([]cataloger.Server, 0, len(rows.Rows))
-		for _, row := range rows.Rows {
-			server, err := p.seams.Server(row)
-			if err != nil {
-				if bad[row.Key] != row.Version {
-					bad[row.Key] = row.Version
-					p.log.Decide(observer.Decision{Part: "servers", Outcome: "registration passed over", Inputs: []observer.Field{
-						observer.F("key", row.Key), observer.F("error", err.Error()),
-					}})
-				}
-				continue
-			}
-			servers = append(servers, server)
-		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.carryBoth(p.setServers(p.clock.Now(), servers))
-		return nil
-	})
-}
-
 // beat writes this daemon's signs of life and reads those of the others.
 func (p *Proxy) beat(ctx context.Context) {
 	count := int64(0)
