Send no rows to daemons that have them, and no large catalog over hosts' links

Cause: with 1,698 databases the catalog has some 340 KB. Change: questions between daemons carry a digest of the rows that the asker has; tables of over 128 KB are read from the store itself, whose link is wide. Test: TestCacheSparesLinks.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -48,10 +48,12 @@
 // Question asks for a table's rows.
 type Question struct {
 	Table int `json:"table"`
-	// After is the number of the reading that the asker has, and Wait how long
-	// the answer may wait for another one.
-	After int64             `json:"after,omitempty"`
-	Wait  timekeeper.Millis `json:"wait,omitempty"`
+	// After is the number of the reading that the asker has, and Digest that of its
+	// rows, wherever it has them from; 0 stands for none.
+	After  int64  `json:"after,omitempty"`
+	Digest uint64 `json:"digest,omitempty"`
+	// Wait is how long the answer may wait for other rows than those.
+	Wait timekeeper.Millis `json:"wait,omitempty"`
 }
 
 // Shared is a reading from another daemon's memory.
@@ -66,6 +68,9 @@
 	Held timekeeper.Millis `json:"held,omitempty"`
 	// Same says that the rows are those that the asker has.
 	Same bool `json:"same,omitempty"`
+	// Large says that the rows are not among the answer, since hosts' links are
+	// narrow: the asker reads the store.
+	Large bool `json:"large,omitempty"`
 }
 
 // ReadAt returns when the store was asked at the earliest, by the clock of a
--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -28,8 +31,11 @@
 type reading struct {
 	rows    map[string]elector.Row
 	version int64
-	// number rises with each change of the rows.
+	// number rises with each change of the rows, which digest names and which have
+	// size bytes.
 	number int64
+	digest uint64
+	size   int
 	// readAt is when the table was last asked for whole.
 	readAt timekeeper.Millis
 	// changed is closed at the next change.
@@ -105,17 +111,45 @@
 func (r *reading) replace(rows map[string]elector.Row) {
 	r.rows = rows
 	r.number++
+	r.size = 0
+	hash := xxhash.New()
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		r.size += len(key) + len(rows[key].Value)
+		_, _ = fmt.Fprintf(hash, "%q %d\n", key, rows[key].Version) // never fails, by its documentation
+	}
+	r.digest = hash.Sum64()
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// held returns the rows of a table that were read last, and their digest.
+func (c *cache) held(table Table) (Rows, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.reading(table)
+	rows := Rows{Version: r.version}
+	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
+		rows.Rows = append(rows.Rows, r.rows[key])
+	}
+	return rows, r.digest
+}
+
+// has reports whether the asker of a question has the rows.
+func (r *reading) has(q detourer.Question) bool {
+	return q.After == r.number || q.Digest != 0 && q.Digest == r.digest
+}
+
+// largeSize is the size of a table in bytes from which its rows are not sent to
+// other daemons: a second of a 10 Mbit/s link carries seven of that size.
+const largeSize = 128 << 10
+
 // share answers another daemon: at once, or when the rows are not those that it
 // has any more.
 func (c *cache) share(ctx context.Context, q detourer.Question) (detourer.Shared, error) {
 	begun := c.clock.Now()
 	c.mu.Lock()
 	r := c.reading(Table(q.Table))
-	changed, wait := r.changed, q.After == r.number && q.Wait > 0
+	changed, wait := r.changed, r.has(q) && q.Wait > 0
 	c.mu.Unlock()
 	if wait {
 		select {
@@ -132,8 +166,9 @@
 	if r.rows == nil || age > c.limit {
 		return detourer.Shared{}, &Error{Op: "share", Kind: KindOld, Text: "the last reading is too old"}
 	}
-	shared := detourer.Shared{Version: r.version, Number: r.number, Age: age, Held: now - begun, Same: q.After == r.number}
-	if !shared.Same {
+	shared := detourer.Shared{Version: r.version, Number: r.number, Age: age, Held: now - begun, Same: r.has(q)}
+	shared.Large = !shared.Same && r.size > largeSize
+	if !shared.Same && !shared.Large {
 		for _, key := range slices.Sorted(maps.Keys(r.rows)) {
 			shared.Rows = append(shared.Rows, r.rows[key])
 		}
--- a/proxier/cache_test.go
+++ b/proxier/cache_test.go
@@ -52,3 +52,37 @@
 		t.Errorf("shared a reading of %d ms", old.Age)
 	}
 }
+
+// TestCacheSparesLinks answers the pattern of a large catalog and many daemons with
+// narrow links: rows that an asker has are not sent again, and large ones not at
+// all.
+func TestCacheSparesLinks(t *testing.T) {
+	small, large := rowsOf(5, "a", "b"), Rows{Version: 6, Rows: []elector.Row{{Key: "a", Version: 6, Value: make([]byte, largeSize)}}}
+	tests := map[string]struct {
+		held, asked Rows
+		same, large bool
+		rows        int
+	}{
+		"the same rows from elsewhere": {held: small, asked: small, same: true},
+		"other rows":                   {held: rowsOf(4, "a"), asked: small, rows: 2},
+		"a row less":                   {held: rowsOf(5, "a", "b", "c"), asked: small, rows: 2},
+		"nothing held":                 {asked: small, rows: 2},
+		"large rows":                   {held: small, asked: large, large: true},
+		"the same large rows":          {held: large, asked: large, same: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := timekeeper.NewVirtual(1000)
+			asker, reader := newCache(clock.Clock(), 4500), newCache(clock.Clock(), 4500)
+			if test.held.Rows != nil {
+				asker.set(TableCatalog, test.held, 900)
+			}
+			reader.set(TableCatalog, test.asked, 950)
+			_, digest := asker.held(TableCatalog)
+			got, err := reader.share(context.Background(), detourer.Question{Table: int(TableCatalog), Digest: digest})
+			if err != nil || got.Same != test.same || got.Large != test.large || len(got.Rows) != test.rows {
+				t.Errorf("got same %v, large %v, %d rows, %v", got.Same, got.Large, len(got.Rows), err)
+			}
+		})
+	}
+}
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -121,11 +121,25 @@
 	defer cancel()
 	asked := p.clock.Now()
 	if reader := p.reader(); reader != "" {
-		if shared, err := p.detourer.Share(call, reader, detourer.Question{Table: int(table)}); err == nil {
-			return Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(asked), nil
+		rows, digest := p.cache.held(table)
+		shared, err := p.detourer.Share(call, reader, detourer.Question{Table: int(table), Digest: digest})
+		switch {
+		case err == nil && shared.Same:
+			return rows, shared.ReadAt(asked), nil
+		case err == nil && !shared.Large:
+			rows = Rows{Rows: shared.Rows, Version: shared.Version}
+			p.cache.set(table, rows, shared.ReadAt(asked))
+			return rows, shared.ReadAt(asked), nil
 		}
 	}
-	rows, err := p.read(call, table)
+	return p.scanStore(call, table, name)
+}
+
+// scanStore reads a table whole from the store. It returns when the store was
+// asked.
+func (p *Proxy) scanStore(ctx context.Context, table Table, name string) (Rows, timekeeper.Millis, error) {
+	asked := p.clock.Now()
+	rows, err := p.read(ctx, table)
 	p.dependency(name, err)
 	if err != nil {
 		return rows, asked, err
@@ -246,15 +260,26 @@
 		return 0, false
 	}
 	asked := p.clock.Now()
-	shared, err := p.detourer.Share(ctx, reader, detourer.Question{Table: int(f.table), After: number, Wait: p.settings.Intervals.Feed})
+	_, digest := p.cache.held(f.table)
+	shared, err := p.detourer.Share(ctx, reader, detourer.Question{Table: int(f.table), After: number, Digest: digest, Wait: p.settings.Intervals.Feed})
 	if err != nil {
 		return 0, false
 	}
 	if shared.Same {
 		f.confirmed(shared.ReadAt(asked))
-		return number, true
+		return shared.Number, true
+	}
+	rows, readAt := Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(asked)
+	if shared.Large {
+		call, cancel := p.call(ctx)
+		defer cancel()
+		if rows, readAt, err = p.scanStore(call, f.table, f.name); err != nil {
+			return 0, false
+		}
+	} else {
+		p.cache.set(f.table, rows, readAt)
 	}
-	f.whole(Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(asked))
+	f.whole(rows, readAt)
 	return shared.Number, true
 }
 
