Close second connections early where a server's limit holds few for each daemon

Cause: servers count the connections of hosts that lost power for 3 s. At 46 connections and 24 daemons with up to two each, few could be opened at their return: the first daemons took them, the others refused their callers (log of all hosts: 1,955 refused connections in 2 s). Change: a second connection stays idle for 300 ms there; the first for 2 s as before. Test: TestConnectionsOfHostsThatLosePower failed first.

--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -97,6 +97,7 @@
 				pool: pooler.New(1<<16, g.mux.warm(g), g.mux.nextConn).WithIdleLimit(idleLimit),
 			}
 			s.pool.SetShare(g.mux.share(g))
+			s.pool.SetSpareLimit(g.mux.spareLimit(g))
 			g.byID[described.ID] = s
 			g.log("server registered", observer.F("server", described.ID), observer.F("address", described.Address))
 		}
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -254,3 +254,41 @@
 		}
 	}
 }
+
+// TestConnectionsOfHostsThatLosePower answers the pattern of all hosts losing power
+// at once: servers go on counting their connections for seconds, so that few must
+// be open that nobody uses where the limit holds few for each daemon.
+func TestConnectionsOfHostsThatLosePower(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		// open is how many connections the primary has after a burst, by the time
+		// since its end.
+		open map[timekeeper.Millis]int
+	}{
+		"few for each daemon":    {24, map[timekeeper.Millis]int{100: 2, 400: 1, 2500: 0}},
+		"enough for each daemon": {2, map[timekeeper.Millis]int{100: 7, 400: 7, 2500: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 30)
+			b.carry(b.m.SetHosts(b.Now(), test.hosts))
+			b.run(3000)
+			var urgent tally
+			for range 4 {
+				b.stream("urgent", aRead, 40, 400, &urgent)
+			}
+			b.run(1200)
+			last := b.Now()
+			for range 4 {
+				b.ask("urgent", "urgent", aRead, func(Answer, timekeeper.Millis) { last = b.Now() })
+			}
+			b.run(200)
+			for _, after := range []timekeeper.Millis{100, 400, 2500} {
+				b.Run(last+after, nil)
+				if got := b.servers["s0"].open; got != test.open[after] {
+					t.Errorf("%d connections %d ms after the last statement, want %d", got, after, test.open[after])
+				}
+			}
+		})
+	}
+}
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -134,6 +134,7 @@
 		for _, s := range g.servers {
 			s.pool.SetShare(m.share(g))
 			s.pool.SetWarm(m.warm(g))
+			s.pool.SetSpareLimit(m.spareLimit(g))
 		}
 	}
 }
@@ -162,6 +163,20 @@
 	return 1
 }
 
+// scarceIdleLimit is how long a second connection stays idle where a server's limit
+// holds few for each daemon. A server counts the connections of a daemon that lost
+// power for some seconds: what idles then is not there for its return.
+const scarceIdleLimit timekeeper.Millis = 300
+
+// spareLimit is how long connections beyond the first stay idle; 0 for as long as
+// the first.
+func (m *Multiplexer) spareLimit(g *group) timekeeper.Millis {
+	if m.warm(g) > 0 {
+		return 0
+	}
+	return scarceIdleLimit
+}
+
 // warmFactor is how many connections for each daemon a server's limit must hold
 // for one of them to stay open when idle.
 const warmFactor = 2
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -41,6 +41,9 @@
 	pause   timekeeper.Millis
 	// idleLimit is how long a connection beyond the warm ones stays idle.
 	idleLimit timekeeper.Millis
+	// spareLimit is the same while more than one connection is open; 0 for no
+	// difference.
+	spareLimit timekeeper.Millis
 }
 
 // New returns an empty pool. The server takes limit connections in all; warm idle
@@ -61,6 +64,12 @@
 	p.share = min(max(share, 1), p.limit)
 }
 
+// SetSpareLimit sets how long connections stay idle while more than one is open;
+// 0 makes no difference.
+func (p *Pool) SetSpareLimit(limit timekeeper.Millis) {
+	p.spareLimit = limit
+}
+
 // SetWarm sets how many idle connections are kept ahead of need.
 func (p *Pool) SetWarm(warm int) {
 	p.warm = warm
@@ -168,9 +177,12 @@
 func (p *Pool) surplus(now timekeeper.Millis) []Conn {
 	var out []Conn
 	for len(p.idle) > 0 {
-		oldest := p.idle[0]
+		oldest, limit := p.idle[0], p.idleLimit
+		if p.spareLimit > 0 && p.Size() > 1 {
+			limit = p.spareLimit
+		}
 		over := p.Size() > p.share
-		stale := len(p.idle) > p.warm && now-oldest.since > p.idleLimit
+		stale := len(p.idle) > p.warm && now-oldest.since > limit
 		if !over && !stale {
 			break
 		}
