Use a primary through another daemon that reaches it

Cause: a primary cut off from some of the daemons refused their callers for the whole cut, since the others rightly object to its replacement. Change: a daemon that finds a primary silent asks others at once for a connection through them; those that do not reach it either say so without trying. While it is reached so, the own path is tried once a second. Authority and all checks stay with the asking daemon; a relay is one connection to the server and ends with the connection that asked for it. Reads have replicas and use no relay. The scenario of a daemon without the store now cuts it off from the other daemons as well: with a relay through it no change is needed. Leases of that scenario last 14 s, as in production.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -1,6 +1,6 @@
-// Package detourer reaches the store through other daemons: any of them while a
-// daemon's own path fails, which then asks the store itself, and one of its
-// failure domain for readings from memory, which come with their age.
+// Package detourer reaches the store and backend servers through other daemons: any
+// of them while a daemon's own path fails, which then uses its own path, and one of
+// its failure domain for readings from memory, which come with their age.
 package detourer
 
 import (
@@ -30,7 +30,7 @@
 // call itself asks to wait.
 const callLimit = askLimit
 
-// connectionLimit limits the life of another daemon's connection.
+// connectionLimit limits the life of another daemon's connection that is no relay.
 const connectionLimit = 15 * time.Second
 
 // Rows are rows of a table as of one version of the store.
@@ -85,6 +85,8 @@
 	Transact func(ctx context.Context, change Change) elector.Result
 	// Share answers from memory.
 	Share func(ctx context.Context, question Question) (Shared, error)
+	// Connect opens a connection to a backend server that this daemon reaches.
+	Connect Connect
 }
 
 // quiet keeps the library from logging that an asker did not wait for its answer;
@@ -110,9 +112,12 @@
 		conns.Add(1)
 		go func() {
 			defer conns.Done()
-			call, cancel := context.WithTimeout(ctx, connectionLimit)
+			call, cancel := context.WithCancel(ctx)
 			defer cancel()
-			handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(store.handle))
+			s := &served{Store: store, life: time.AfterFunc(connectionLimit, cancel)}
+			defer s.close()
+			defer s.life.Stop()
+			handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
 			rpc := jsonrpc2.NewConn(call, jsonrpc2.NewPlainObjectStream(conn), handler, quiet)
 			select {
 			case <-call.Done():
@@ -123,7 +128,7 @@
 	}
 }
 
-func (s Store) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *served) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
@@ -139,6 +144,10 @@
 			return s.Share(call, question)
 		}
 		return s.Scan(call, question.Table)
+	case methodConnect:
+		return s.connect(ctx, r)
+	case methodRun:
+		return s.run(r)
 	case methodTransact:
 		var change Change
 		if err := json.Unmarshal(*r.Params, &change); err != nil {
@@ -159,6 +168,8 @@
 	mu    sync.Mutex
 	peers []string
 	next  int
+	// relay is the index of the daemon that is asked first for a relay.
+	relay int
 	// rested is until when nobody is asked after all that were asked failed.
 	rested time.Time
 }
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -10,7 +10,9 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/multiplexer"
 )
 
 func TestMain(m *testing.M) {
@@ -23,6 +25,8 @@
 type peer struct {
 	address string
 	asked   atomic.Int64
+	// open is how many connections to backend servers are open.
+	open atomic.Int64
 }
 
 func startPeer(t *testing.T, down bool) *peer {
@@ -54,6 +58,25 @@
 		Share: func(_ context.Context, q Question) (Shared, error) {
 			return Shared{Version: 9, Number: 7, Age: 40, Same: q.After == 7}, nil
 		},
+		Connect: func(_ context.Context, server cataloger.Server) (Link, multiplexer.Answer, error) {
+			if down {
+				return Link{}, multiplexer.Answer{}, errDown
+			}
+			if server.ID == "full" {
+				return Link{}, multiplexer.Answer{Code: multiplexer.CodeTooMany}, nil
+			}
+			p.open.Add(1)
+			return Link{Run: func(statements []multiplexer.Statement) ([]multiplexer.Answer, error) {
+				var out []multiplexer.Answer
+				for _, st := range statements {
+					if st.Args == "break" {
+						return nil, errDown
+					}
+					out = append(out, multiplexer.Answer{Rows: []string{server.ID + " " + st.Args}})
+				}
+				return out, nil
+			}, Close: func() { p.open.Add(-1) }}, multiplexer.Answer{Signature: "s"}, nil
+		},
 	}, done)
 	t.Cleanup(func() {
 		cancel()
@@ -129,3 +152,37 @@
 		t.Errorf("read at %d, want 975: the store was asked 40 ms before an answer that came 15 ms after the question", got)
 	}
 }
+
+// TestRelay is about a backend server that this daemon does not reach.
+func TestRelay(t *testing.T) {
+	far, near := startPeer(t, true), startPeer(t, false)
+	d := New("127.0.0.1:1", net.Dialer{})
+	d.AddPeers([]string{far.address, near.address})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, answer, err := d.Relay(ctx, cataloger.Server{ID: "full"}); err != nil || answer.Code != multiplexer.CodeTooMany {
+		t.Errorf("got %v, %v, want the server's refusal", answer.Code, err)
+	}
+	link, answer, err := d.Relay(ctx, cataloger.Server{ID: "s0"})
+	if err != nil || answer.Signature != "s" {
+		t.Fatalf("got %+v, %v", answer, err)
+	}
+	answers, err := link.Run([]multiplexer.Statement{{Kind: multiplexer.KindRead, Args: "x"}, {Kind: multiplexer.KindRead, Args: "y"}})
+	if err != nil || len(answers) != 2 || answers[1].Rows[0] != "s0 y" {
+		t.Errorf("got %+v, %v", answers, err)
+	}
+	if _, err := link.Run([]multiplexer.Statement{{Args: "break"}}); err == nil {
+		t.Error("a broken connection gave an answer")
+	}
+	if open := near.open.Load(); open != 1 {
+		t.Errorf("%d connections are open, want 1", open)
+	}
+	link.Close()
+	for range 500 {
+		if near.open.Load() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the connection is still open 5 s after the relay was closed")
+}
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -19,6 +19,7 @@
 	s := c.server
 	g := m.group(s.Group)
 	c.opening = false
+	g.reached(now, c)
 	g.revive(now, s)
 	s.learn(now, g, a.Position)
 	if s.gone || !s.pool.Opened(now, id) {
@@ -40,6 +41,7 @@
 	m.forget(now, c)
 	g.log("connection refused", observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("open", s.pool.Size()))
 	if a.Code == CodeTooMany {
+		g.reached(now, c)
 		g.revive(now, s)
 	}
 	if a.Code == CodeWrongServer {
@@ -59,7 +61,7 @@
 	s := c.server
 	g := m.group(s.Group)
 	m.forget(now, c)
-	if c.opening {
+	if c.opening && g.unreached(c) {
 		g.silence(now, s, "no connection can be opened")
 	}
 	g.broken(now, c)
@@ -382,16 +384,23 @@
 }
 
 // silence leaves a server out that does not answer. Its idle connections are
-// closed, since the path they use is in doubt.
+// closed, since the path they use is in doubt. Another daemon is tried at once, the
+// own path later.
 func (g *group) silence(now timekeeper.Millis, s *server, why string) {
-	s.silentUntil = now + g.mux.settings.Probe
+	found := !s.silent
+	if found {
+		s.silent, s.silentSince = true, now
+	}
+	s.silentUntil = now
+	if s.failures > 0 || !g.relays(s) {
+		s.silentUntil += g.mux.settings.Probe
+	}
 	for _, id := range s.pool.Retire() {
 		g.mux.closeConn(now, id)
 	}
-	if s.silent {
+	if !found {
 		return
 	}
-	s.silent, s.silentSince = true, now
 	g.log("server is silent: "+why, observer.F("server", s.ID), observer.F("heard", int64(now-s.heard)))
 	g.refuseHopeless(now)
 }
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -368,12 +368,10 @@
 		if !s.usable(now, g.mux.settings.Forget) && !(s.silent && now >= s.silentUntil) {
 			continue
 		}
+		g.tryDirect(now, s)
 		opened, closed := s.pool.Plan(now, g.demand(s))
 		for _, id := range opened {
-			c := &conn{id: id, server: s, values: map[string]string{}, prepared: map[string]bool{}, opening: true, sent: now}
-			g.mux.conns[id] = c
-			s.conns[id] = c
-			g.mux.emit(Open{Conn: id, Server: s.Server})
+			g.open(now, s, id, g.relays(s))
 		}
 		for _, id := range closed {
 			g.mux.closeConn(now, id)
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -53,6 +53,8 @@
 	prepared map[string]bool
 	// opening says that the server has not accepted the connection yet.
 	opening bool
+	// relayed says that it leads through another daemon.
+	relayed bool
 	// job is the statement in progress, and cleaning says that a rollback is.
 	job      *job
 	cleaning bool
@@ -82,7 +84,12 @@
 	silentUntil timekeeper.Millis
 	silent      bool
 	silentSince timekeeper.Millis
-	fullUntil   timekeeper.Millis
+	// relayed says that the server is reached through another daemon, directDue when
+	// the own path is tried next, and failures how many tries in a row failed.
+	relayed   bool
+	directDue timekeeper.Millis
+	failures  int
+	fullUntil timekeeper.Millis
 	// failing is the part of statements that failed of late, and brokenSince since
 	// when it has been most of them; 0 if it is not.
 	failing     float64
--- a/multiplexer/statement.go
+++ b/multiplexer/statement.go
@@ -121,10 +121,12 @@
 	Answer  Answer
 }
 
-// Open opens a connection to a server; Opened or Lost answers it.
+// Open opens a connection to a server; Opened, Refused or Lost answers it.
 type Open struct {
 	Conn   pooler.Conn
 	Server cataloger.Server
+	// Relayed asks for a connection through another daemon.
+	Relayed bool
 }
 
 // Send runs statements on a connection in order; Answered or Lost answers it.
--- a/proxier/error.go
+++ b/proxier/error.go
@@ -7,6 +7,8 @@
 const (
 	// KindOld marks a reading that is too old to be shared.
 	KindOld Kind = "old"
+	// KindSilent marks a backend server that does not answer.
+	KindSilent Kind = "silent"
 	// KindStore marks a change that the store did not confirm.
 	KindStore Kind = "store"
 )
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -7,7 +7,6 @@
 	"net"
 	"sync"
 
-	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
@@ -135,7 +134,7 @@
 				s.hangUp()
 			}
 		case multiplexer.Open:
-			p.open(c.Conn, c.Server)
+			p.open(c)
 		case multiplexer.Send:
 			if w := p.links[c.Conn]; w != nil {
 				w.batches <- c.Statements
@@ -209,20 +208,24 @@
 }
 
 // open starts the goroutine of a new connection.
-func (p *Proxy) open(id pooler.Conn, server cataloger.Server) {
+func (p *Proxy) open(c multiplexer.Open) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	w := &worker{batches: make(chan []multiplexer.Statement, 2), cancel: cancel}
-	p.links[id] = w
+	p.links[c.Conn] = w
 	p.spawn(func(context.Context) {
 		defer cancel()
-		p.work(ctx, id, server, w)
+		p.work(ctx, c, w)
 	})
 }
 
 // work opens a connection and runs what is sent on it until it ends.
-func (p *Proxy) work(ctx context.Context, id pooler.Conn, server cataloger.Server, w *worker) {
+func (p *Proxy) work(ctx context.Context, c multiplexer.Open, w *worker) {
+	connect, id := p.seams.Connect, c.Conn
+	if c.Relayed {
+		connect = p.detourer.Relay
+	}
 	dial, cancel := p.call(ctx)
-	link, answer, err := p.seams.Connect(dial, server)
+	link, answer, err := connect(dial, c.Server)
 	cancel()
 	if err != nil {
 		p.decide(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.Lost(now, id) })
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -12,6 +12,8 @@
 type scenario struct {
 	// faults happen at their times.
 	faults map[timekeeper.Millis]func(w *world)
+	// lease is how long the daemons' leases last; at least testLease.
+	lease timekeeper.Millis
 	// leads is the server that must lead at the end, or empty for any but s0.
 	leads string
 	// by is when that must be so.
@@ -50,8 +52,20 @@
 		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cutPrimary(w, 1, 2) }},
 		leads:  "s0", by: start + 12_000,
 	},
+	"daemons that are cut from a primary use it through one that is not": {
+		faults: map[timekeeper.Millis]func(w *world){
+			start:        func(w *world) { cutPrimary(w, 1, 2) },
+			start + 3000: func(w *world) { w.failedBefore = w.failed },
+			start + 10_000: func(w *world) {
+				if failed := w.failed - w.failedBefore; failed > 10 {
+					w.fault("%d operations failed though a daemon reaches the primary, want 10 at most", failed)
+				}
+			},
+		},
+		lease: 14_000, leads: "s0", by: start + 10_100,
+	},
 	"a daemon without the store keeps its primary until its lease ends": {
-		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cutPrimary(w, 1, 2); w.daemons[0].storeCut = true }},
+		faults: map[timekeeper.Millis]func(w *world){start: func(w *world) { cutPrimary(w, 1, 2); w.daemons[0].storeCut, w.daemons[0].peerCut = true, true }},
 		not:    start + 2000, by: start + testLease + 5000,
 	},
 	"a daemon that was killed does not delay a change for longer than its lease": {
@@ -111,7 +125,7 @@
 	for name, test := range changes {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(8) {
-				w := newWorld(seed+1, 3)
+				w := newWorld(seed+1, 3, max(test.lease, testLease))
 				for i := range 6 {
 					w.After(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
 				}
--- a/proxier/seams.go
+++ b/proxier/seams.go
@@ -4,20 +4,11 @@
 	"context"
 
 	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
-	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// Link is an open connection to a backend server. Its fields are seams.
-type Link struct {
-	// Run sends statements in order and returns an answer to each. An error means
-	// that the connection is of no use any more.
-	Run func(statements []multiplexer.Statement) ([]multiplexer.Answer, error)
-	// Close closes the connection; it may be called at any time.
-	Close func()
-}
-
 // Table is a table of the store.
 type Table int
 
@@ -41,9 +32,8 @@
 
 // Seams are what a daemon needs of the outside world.
 type Seams struct {
-	// Connect opens a connection to a backend server. An answer that is not
-	// CodeOK says why the server refused it.
-	Connect func(ctx context.Context, server cataloger.Server) (Link, multiplexer.Answer, error)
+	// Connect opens a connection to a backend server.
+	Connect detourer.Connect
 	// Scan reads a table whole.
 	Scan func(ctx context.Context, table Table) (Rows, error)
 	// Feed waits for changes of a table after a version. An error of KindHistory
--- a/proxier/simulation_test.go
+++ b/proxier/simulation_test.go
@@ -74,7 +74,7 @@
 
 // play plays one random schedule and returns its world.
 func play(seed int64) *world {
-	w := newWorld(seed, 3)
+	w := newWorld(seed, 3, testLease)
 	for i := range 9 {
 		w.After(200, func() { w.connect(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
 	}
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -25,7 +27,8 @@
 			rows, err := p.seams.Scan(ctx, Table(table))
 			return detourer.Rows(rows), err
 		},
-		Share: p.cache.share,
+		Share:   p.cache.share,
+		Connect: p.connectFor,
 		Transact: func(ctx context.Context, change detourer.Change) elector.Result {
 			result, _ := p.seams.Transact(ctx, Table(change.Table), change.Transaction)
 			return result
@@ -33,6 +36,18 @@
 	}
 }
 
+// connectFor opens a connection to a backend server for another daemon, unless
+// the server does not answer this one either.
+func (p *Proxy) connectFor(ctx context.Context, server cataloger.Server) (detourer.Link, multiplexer.Answer, error) {
+	p.mu.Lock()
+	reached := p.mux.Reaches(server)
+	p.mu.Unlock()
+	if !reached {
+		return detourer.Link{}, multiplexer.Answer{}, &Error{Op: "connect for another daemon", Kind: KindSilent, Text: server.ID}
+	}
+	return p.seams.Connect(ctx, server)
+}
+
 // lost reports whether the own path to the store failed of late.
 func (p *Proxy) lost() bool {
 	p.mu.Lock()
--- a/proxier/world_test.go
+++ b/proxier/world_test.go
@@ -87,17 +87,23 @@
 	up          bool
 	frozenUntil timekeeper.Millis
 	storeCut    bool
+	// peerCut cuts the daemon off from the other daemons.
+	peerCut bool
 	// changed is when a fault of the daemon began or ended.
 	changed   timekeeper.Millis
 	proofs    *proofs
 	serverCut map[string]bool
 	conns     map[pooler.Conn]*fakeServer
-	clients   map[uint64]*fakeClient
-	number    uint64
+	// vias are the daemons that connections lead through; the daemon itself for its
+	// own path.
+	vias    map[pooler.Conn]*fakeDaemon
+	clients map[uint64]*fakeClient
+	number  uint64
 }
 
 // world is everything outside the daemons, in virtual time.
 type world struct {
+	lease  timekeeper.Millis
 	random *rand.Rand
 	*timekeeper.Agenda
 	rows    map[string]elector.Row
@@ -119,11 +125,13 @@
 	acked    map[string]ackedWrite
 	promised map[string]bool
 	// places are where in the log writes stand.
-	places  map[string]int
-	faults  []string
-	served  int
-	failed  int
-	history []string
+	places map[string]int
+	faults []string
+	served int
+	failed int
+	// failedBefore is what failed before a moment of a scenario.
+	failedBefore int
+	history      []string
 }
 
 // snapshot is the store as it was at a time.
@@ -142,9 +150,9 @@
 	client string
 }
 
-func newWorld(seed int64, daemons int) *world {
+func newWorld(seed int64, daemons int, lease timekeeper.Millis) *world {
 	w := &world{
-		random: rand.New(rand.NewSource(seed)), Agenda: timekeeper.NewAgenda(1000), rows: map[string]elector.Row{},
+		lease: lease, random: rand.New(rand.NewSource(seed)), Agenda: timekeeper.NewAgenda(1000), rows: map[string]elector.Row{},
 		acked: map[string]ackedWrite{}, promised: map[string]bool{}, places: map[string]int{},
 	}
 	for i := range 3 {
@@ -229,10 +237,11 @@
 	d.proofs = &proofs{}
 	d.serverCut = map[string]bool{}
 	d.conns = map[pooler.Conn]*fakeServer{}
+	d.vias = map[pooler.Conn]*fakeDaemon{}
 	d.clients = map[uint64]*fakeClient{}
 	host := elector.Host{Name: d.name, Domain: "x", Incarnation: d.incarnation}
 	settings := DefaultSettings(host)
-	settings.Elector.Lease = testLease
+	settings.Elector.Lease = w.lease
 	d.node = newNode(settings, multiplexer.Deps{}, elector.Deps{})
 	catalog := cataloger.New(1, []cataloger.Database{
 		{Name: "primary", Group: testGroup, Consistency: cataloger.ConsistencyPrimary, Timeout: 800},
@@ -590,19 +599,33 @@
 func (w *world) open(d *fakeDaemon, c multiplexer.Open) {
 	s := w.server(c.Server.ID)
 	w.After(w.hop(), func() {
-		if !w.reaches(d, s) {
+		via := d
+		if c.Relayed {
+			via = w.relayFor(d, c)
+		}
+		if via == nil || !w.reaches(via, s) {
 			w.After(500, func() {
 				w.to(d, func() { w.carry(d, d.node.mux.Lost(w.Now(), c.Conn), nil) })
 			})
 			return
 		}
-		d.conns[c.Conn] = s
+		d.conns[c.Conn], d.vias[c.Conn] = s, via
 		s.sessions[w.connID(d, c.Conn)] = &serverSession{values: map[string]string{}}
 		answer := multiplexer.Answer{Position: s.position()}
 		w.to(d, func() { w.carry(d, d.node.mux.Opened(w.Now(), c.Conn, answer), nil) })
 	})
 }
 
+// relayFor returns another daemon that reaches a server, or nil.
+func (w *world) relayFor(d *fakeDaemon, c multiplexer.Open) *fakeDaemon {
+	for _, other := range w.daemons {
+		if other != d && other.up && !other.peerCut && !d.peerCut && w.Now() >= other.frozenUntil && other.node.mux.Reaches(c.Server) {
+			return other
+		}
+	}
+	return nil
+}
+
 func (w *world) close(d *fakeDaemon, id pooler.Conn) {
 	if s := d.conns[id]; s != nil {
 		delete(s.sessions, w.connID(d, id))
@@ -611,11 +634,11 @@
 
 // send runs statements on a server; a connection that is cut stays silent.
 func (w *world) send(d *fakeDaemon, c multiplexer.Send) {
-	s := d.conns[c.Conn]
+	s, via := d.conns[c.Conn], d.vias[c.Conn]
 	incarnation := d.incarnation
 	w.After(w.hop(), func() {
 		session := s.sessions[w.connID(d, c.Conn)]
-		if session == nil || !w.reaches(d, s) || d.incarnation != incarnation {
+		if session == nil || !w.reaches(via, s) || d.incarnation != incarnation || !via.up || w.Now() < via.frozenUntil {
 			return
 		}
 		w.After(2+timekeeper.Millis(w.random.Intn(10)), func() {
@@ -626,7 +649,7 @@
 			for _, st := range c.Statements {
 				answers = append(answers, w.execute(s, session, st))
 			}
-			if !w.reaches(d, s) || s.mute && w.random.Intn(4) == 0 {
+			if !w.reaches(via, s) || !via.up || s.mute && w.random.Intn(4) == 0 {
 				return
 			}
 			w.to(d, func() { w.carry(d, d.node.mux.Answered(w.Now(), c.Conn, answers), nil) })
