--- a/proxier/roster.go
+++ b/proxier/roster.go
@@ -86,10 +86,14 @@
 	p.carryBoth(p.setServers(p.clock.Now(), servers))
 }
 
+// serversPause is the time between two questions for changed registrations. Each
+// server writes its own about once a second, mostly to say that it lives.
+const serversPause timekeeper.Millis = 1000
+
 // feedServers follows the registrations' changes.
 func (p *Proxy) feedServers(ctx context.Context) {
 	p.feed(ctx, follower{
-		table: TableServers, name: "store: servers",
+		table: TableServers, name: "store: servers", pause: serversPause,
 		whole: func(rows Rows, _ timekeeper.Millis) {
 			p.roster.replace(rows)
 			p.takeServers()
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -206,6 +206,9 @@
 type follower struct {
 	table Table
 	name  string
+	// pause is the time between an answer and the next question; changes that come
+	// meanwhile are told of together.
+	pause timekeeper.Millis
 	// whole takes all rows, and when the store was asked for them.
 	whole func(rows Rows, asked timekeeper.Millis)
 	// changed takes rows that changed.
@@ -219,7 +222,7 @@
 // table again.
 func (p *Proxy) feed(ctx context.Context, f follower) {
 	version, number := int64(0), int64(0)
-	p.every(ctx, 0, func() error {
+	p.every(ctx, f.pause, func() error {
 		if next, ok := p.feedShared(ctx, f, number); ok {
 			version, number = 0, next
 			return nil
