Let the domain reader write heartbeats; judge silence by the age of readings

After a loss of power each daemon took itself for the only one and opened 60 connections; with unreadable heartbeats it counted its own domain only and left the carriers.

Change: SetHeartbeats takes the time as of which the reading is current; silence is what readings show. Requests for rows are signs of life, which the domain reader writes for its daemons. Idle connections are kept once the membership has settled. While heartbeats are stale, groups stay with their carriers. A carrier that does not respond gets no work before it answers a ping, and transactions that it has are rolled back at once.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -61,6 +61,10 @@
 	KnownDigest     uint64 `json:"digest,omitempty"`
 	// MaxWait is how long the answer may wait for rows that differ from the known ones.
 	MaxWait timekeeper.Millis `json:"wait,omitempty"`
+	// From and Incarnation are the requester's name and run. The request shows that it
+	// is live.
+	From        string `json:"from,omitempty"`
+	Incarnation int64  `json:"incarnation,omitempty"`
 }
 
 // CachedRows is a snapshot of a table from another daemon's cache.
@@ -80,6 +84,8 @@
 	// TooLarge is set if the rows are left out because they are too large for the
 	// narrow links between hosts. The requester reads the store instead.
 	TooLarge bool `json:"large,omitempty"`
+	// Covered is set if the daemon that answered writes the requester's heartbeats.
+	Covered bool `json:"covered,omitempty"`
 }
 
 // ReadAt returns the earliest time, by the requester's clock, at which the store may
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -334,22 +334,27 @@
 	return nil
 }
 
-// heartbeatsStale reports whether the heartbeats were last read more than two
-// intervals ago, so that it is unknown which daemons are live.
-func (e *Elector) heartbeatsStale(now timekeeper.Millis) bool {
+// HeartbeatsStale reports whether the newest reading of the heartbeats is more
+// than two intervals old, so that it is unknown which daemons are live.
+func (e *Elector) HeartbeatsStale(now timekeeper.Millis) bool {
 	return now-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
 }
 
-// SetHeartbeats records the heartbeats of all daemons by name. A heartbeat
-// counts as seen now if it changed. If the previous heartbeats are stale, all
-// count as seen now, since it is unknown when they last changed. Daemons without
-// a heartbeat are forgotten.
-func (e *Elector) SetHeartbeats(now timekeeper.Millis, heartbeats map[string]Heartbeat) {
-	stale := e.heartbeatsStale(now)
-	e.heartbeatsAt = now
+// SetHeartbeats records a reading of the heartbeats of all daemons by name, which
+// is current as of readAt. A heartbeat that changed counts as seen at that time.
+// If the previous reading is stale, all count as seen then, since it is unknown
+// when they last changed. Daemons without a heartbeat are forgotten. A reading
+// that is not newer than the previous one is ignored.
+func (e *Elector) SetHeartbeats(now, readAt timekeeper.Millis, heartbeats map[string]Heartbeat) {
+	if readAt <= e.heartbeatsAt {
+		return
+	}
+	stale := readAt-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
+	e.heartbeatsAt = min(readAt, now)
+	e.expireDue = 0 // a new reading may show that a daemon is gone
 	for name, heartbeat := range heartbeats {
 		if seen, known := e.heartbeats[name]; stale || seen.heartbeat != heartbeat {
-			e.heartbeats[name] = observedHeartbeat{heartbeat: heartbeat, seenAt: now, advanced: known && seen.heartbeat != heartbeat}
+			e.heartbeats[name] = observedHeartbeat{heartbeat: heartbeat, seenAt: e.heartbeatsAt, advanced: known && seen.heartbeat != heartbeat}
 		}
 	}
 	for name := range e.heartbeats {
@@ -359,11 +364,26 @@
 	}
 }
 
+// silence returns for how long a daemon's heartbeat has not changed, as far as
+// the readings show. While they are stale, their age is added.
+func (e *Elector) silence(now timekeeper.Millis, seen observedHeartbeat) timekeeper.Millis {
+	if e.HeartbeatsStale(now) {
+		return now - seen.seenAt
+	}
+	return e.heartbeatsAt - seen.seenAt
+}
+
 // live reports whether a daemon's latest heartbeat is younger than
 // HeartbeatTimeout.
 func (e *Elector) live(now timekeeper.Millis, host string) bool {
 	seen, found := e.heartbeats[host]
-	return found && now-seen.seenAt < e.settings.HeartbeatTimeout
+	return found && e.silence(now, seen) < e.settings.HeartbeatTimeout
+}
+
+// HostsKnown reports whether the registrations and the heartbeats of the daemons
+// have been read.
+func (e *Elector) HostsKnown() bool {
+	return e.haveRows && e.heartbeatsAt > 0
 }
 
 // LiveHosts returns the daemons that are registered and live, by name. While the
@@ -372,7 +392,7 @@
 // these daemons reach the same servers.
 func (e *Elector) LiveHosts(now timekeeper.Millis) []Host {
 	var out []Host
-	stale := e.heartbeatsStale(now)
+	stale := e.HeartbeatsStale(now)
 	for name, host := range e.hosts {
 		_, known := e.heartbeats[name]
 		assumedLive := known && stale && host.Domain == e.settings.Self.Domain
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -95,11 +95,11 @@
 	e := newElector(1000,
 		elector.Row{Key: "host/b9", Version: 3, Value: []byte(`{"name":"b9","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)},
 		elector.Row{Key: "host/c1", Version: 3, Value: []byte(`{"name":"c1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)})
-	e.SetHeartbeats(1000, map[string]elector.Heartbeat{"b9": {Count: 1}, "c1": {Count: 1}})
+	e.SetHeartbeats(1000, 1000, map[string]elector.Heartbeat{"b9": {Count: 1}, "c1": {Count: 1}})
 	if got := e.DomainReaderAddress(1500); got != "" {
 		t.Errorf("domain reader %q before its heartbeat was seen to change, want this daemon", got)
 	}
-	e.SetHeartbeats(2000, map[string]elector.Heartbeat{"b9": {Count: 2}, "c1": {Count: 2}})
+	e.SetHeartbeats(2000, 2000, map[string]elector.Heartbeat{"b9": {Count: 2}, "c1": {Count: 2}})
 	if got := e.DomainReaderAddress(2000); got != "10.0.0.9:1" {
 		t.Errorf("domain reader %q, want the live daemon of the same failure domain", got)
 	}
@@ -136,12 +136,27 @@
 	tests := map[string]struct {
 		// counts maps the times at which heartbeats are read to the count in
 		// d1's heartbeat.
-		counts      map[timekeeper.Millis]int64
+		counts map[timekeeper.Millis]int64
+		// age is how old each reading is from 2000 on.
+		age         func(now timekeeper.Millis) timekeeper.Millis
 		wantRevoked bool
 	}{
 		"heartbeats are read, d1's has stopped":            {counts: map[timekeeper.Millis]int64{1000: 1, 4000: 1, 7000: 1, 10_000: 1}, wantRevoked: true},
 		"store outage, heartbeat changed afterwards":       {counts: map[timekeeper.Millis]int64{1000: 1, 10_500: 3}},
 		"store outage, same heartbeat directly afterwards": {counts: map[timekeeper.Millis]int64{1000: 1, 10_500: 1}},
+		"one old reading of the domain reader is read again and again": {
+			counts: map[timekeeper.Millis]int64{1000: 1, 3000: 2, 4000: 2, 5000: 2, 6000: 2, 7000: 2, 8000: 2, 9000: 2, 10_000: 2},
+			age:    func(now timekeeper.Millis) timekeeper.Millis { return now - 2500 },
+		},
+		"a new reading after old ones": {
+			counts: map[timekeeper.Millis]int64{1000: 1, 3000: 2, 6000: 2, 8500: 2, 10_000: 2},
+			age: func(now timekeeper.Millis) timekeeper.Millis {
+				if now < 10_000 {
+					return now - 2500
+				}
+				return 0
+			},
+		},
 		"no outage": {counts: map[timekeeper.Millis]int64{1000: 1, 4000: 2, 7000: 3, 10_000: 4}},
 	}
 	for name, test := range tests {
@@ -151,7 +166,11 @@
 			for now := timekeeper.Millis(1000); now <= 11_000; now += 100 {
 				got = append(got, revokedKeys(e.Tick(now))...)
 				if count, read := test.counts[now]; read {
-					e.SetHeartbeats(now, map[string]elector.Heartbeat{"d1": {Incarnation: 1, Count: count}})
+					readAt := now
+					if test.age != nil && now > 2000 {
+						readAt -= test.age(now)
+					}
+					e.SetHeartbeats(now, readAt, map[string]elector.Heartbeat{"d1": {Incarnation: 1, Count: count}})
 				}
 			}
 			if len(got) > 0 != test.wantRevoked {
@@ -169,7 +188,7 @@
 	e := newElector(1000,
 		elector.Row{Key: "host/d1", Version: 3, Value: []byte(`{"name":"d1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)},
 		elector.Row{Key: "host/d2", Version: 3, Value: []byte(`{"name":"d2","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)})
-	e.SetHeartbeats(1000, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
+	e.SetHeartbeats(1000, 1000, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
 	if got := len(e.LiveHosts(2000)); got != 3 {
 		t.Errorf("live hosts: got %d, want 3", got)
 	}
@@ -177,7 +196,7 @@
 		t.Errorf("live hosts with stale heartbeats: got %d, want the 2 of the failure domain", got)
 	}
 	for now := timekeeper.Millis(12_000); now <= 21_000; now += 3000 {
-		e.SetHeartbeats(now, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
+		e.SetHeartbeats(now, now, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
 	}
 	if got := len(e.LiveHosts(21_000)); got != 1 {
 		t.Errorf("live hosts after the others' heartbeats ended: got %d, want 1", got)
--- a/elector/revoke.go
+++ b/elector/revoke.go
@@ -21,7 +21,7 @@
 // daemon by name does this, and not while the heartbeats that it has read are
 // stale.
 func (e *Elector) expireRegistrations(now timekeeper.Millis) {
-	if e.leaving || !e.registered() || now < e.expireDue || e.heartbeatsStale(now) || !e.isFirstLive(now) {
+	if e.leaving || !e.registered() || now < e.expireDue || e.HeartbeatsStale(now) || !e.isFirstLive(now) {
 		return
 	}
 	e.expireDue = now + e.settings.HeartbeatInterval/2
@@ -31,9 +31,9 @@
 			continue
 		}
 		if !host.Revoked {
-			if seen, found := e.heartbeats[name]; found && now-seen.seenAt > e.settings.HeartbeatTimeout {
+			if seen, found := e.heartbeats[name]; found && e.silence(now, seen) > e.settings.HeartbeatTimeout {
 				host.Revoked = true
-				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(now-seen.seenAt)))
+				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(e.silence(now, seen))))
 				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result, int64) {})
 			}
 			continue
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -16,10 +16,11 @@
 	// carrierPingAfter is how long a carrier that owes an answer may be silent
 	// before it is pinged, and carrierPingTimeout how long it may take to answer
 	// the ping before it gets no more work.
-	carrierPingAfter, carrierPingTimeout timekeeper.Millis = 80, 250
-	// carrierBackoff is for how long a carrier gets no work after a failure; it
-	// doubles with each further failure up to maxCarrierBackoff.
-	carrierBackoff, maxCarrierBackoff timekeeper.Millis = 500, 4000
+	carrierPingAfter, carrierPingTimeout timekeeper.Millis = 60, 160
+	// carrierBackoff is for how long a carrier gets no work after a failure, and
+	// the time to the first ping of one that does not respond; it doubles with each
+	// further failure up to maxCarrierBackoff.
+	carrierBackoff, maxCarrierBackoff timekeeper.Millis = 150, 4000
 	// answerReserve is what a carrier's time limit is shorter than this
 	// daemon's, so that its answer arrives in time.
 	answerReserve timekeeper.Millis = 8
@@ -71,6 +72,13 @@
 	// failures how many there were in a row.
 	avoidUntil timekeeper.Millis
 	failures   int
+	// unreachable says that the carrier gets no work before it answers a ping.
+	unreachable bool
+}
+
+// usable reports whether the carrier may get new work.
+func (p *carrierPath) usable(now timekeeper.Millis) bool {
+	return !p.unreachable && now >= p.avoidUntil
 }
 
 // SetPlacement sets which daemons are live, and with it who carries each group
@@ -83,20 +91,28 @@
 		observer.F("hosts", placement.HostCount()), observer.F("before", m.placement.HostCount()),
 	}})
 	m.placement = placement
+	if m.placedAt == 0 {
+		m.placedAt = now
+	}
 	m.updatePoolLimits()
 	m.dispatchAll(now)
 	return m.takeCommands()
 }
 
-// updateCarriers determines the carriers of a group from the placement.
+// updateCarriers determines the carriers of a group from the placement. While that
+// is partial, the number of carriers stays, since the other daemons use the
+// servers too.
 func (g *group) updateCarriers() {
-	before := g.carrierCount
+	before, placement := g.carrierCount, g.mux.placement
 	config, found := g.mux.catalog.Group(g.name)
 	if !found {
 		g.carrierCount, g.carriers = 0, nil
 		return
 	}
-	g.carrierCount = g.mux.placement.CarriersPerDomain(config.ConnectionLimit, before > 0)
+	if !placement.Partial() || before == 0 {
+		g.carrierCount = placement.CarriersPerDomain(config.ConnectionLimit, before > 0)
+		g.sharers = placement.Sharers(g.carrierCount)
+	}
 	if g.carrierCount == 0 {
 		g.carriers = nil
 	} else {
@@ -133,7 +149,7 @@
 		if h.Name == self {
 			return placer.Host{}, false
 		}
-		if path := g.mux.paths[h.Name]; path == nil || now >= path.avoidUntil {
+		if path := g.mux.paths[h.Name]; path == nil || path.usable(now) {
 			return h, true
 		}
 	}
@@ -222,6 +238,9 @@
 // markResponded records a sign of life of a carrier.
 func (p *carrierPath) markResponded(now timekeeper.Millis) {
 	p.silentSince, p.pingedAt = now, 0
+	if p.unreachable {
+		p.unreachable, p.avoidUntil = false, now
+	}
 }
 
 // CarrierResponded handles a carrier's answer to a ping.
@@ -300,6 +319,7 @@
 	}
 	m.endForward(j)
 	m.avoidCarrier(now, j.path, "the link broke")
+	j.path.unreachable = true
 	m.abandonForward(now, j, sent, "the link to the carrier broke")
 	return m.takeCommands()
 }
@@ -351,8 +371,9 @@
 }
 
 // tickForwards ends the waits whose time limit has passed, and looks for
-// carriers that do not respond: they get no more work, and single reads that
-// they owe run elsewhere. Other work of theirs waits, since it may be running.
+// carriers that do not respond. These get no more work before they answer a ping.
+// Writes and commits that they owe wait for their time limit, since they may be
+// running.
 func (m *Multiplexer) tickForwards(now timekeeper.Millis) {
 	if m.lastTick > 0 && now-m.lastTick > tickGap {
 		for _, path := range m.paths {
@@ -363,6 +384,12 @@
 	for _, name := range slices.Sorted(maps.Keys(m.paths)) {
 		path := m.paths[name]
 		switch {
+		case path.unreachable && now >= path.avoidUntil:
+			path.pingedAt = now
+			m.avoidCarrier(now, path, "pinged again")
+			m.emit(RenewLink{Carrier: path.host})
+			m.emit(PingCarrier{Carrier: path.host})
+		case path.unreachable:
 		case path.outstanding == 0:
 			path.pingedAt = 0
 		case path.pingedAt == 0 && now-path.silentSince >= carrierPingAfter:
@@ -371,8 +398,8 @@
 		case path.pingedAt > 0 && now-path.pingedAt >= carrierPingTimeout:
 			m.emit(RenewLink{Carrier: path.host})
 			m.avoidCarrier(now, path, "does not respond")
-			path.pingedAt = now
-			m.rerunReads(now, path)
+			path.unreachable = true
+			m.giveUpOn(now, path)
 		}
 	}
 	for _, j := range sortedJobs(m.forwards) {
@@ -382,14 +409,21 @@
 	}
 }
 
-// rerunReads runs the single reads that a carrier owes elsewhere.
-func (m *Multiplexer) rerunReads(now timekeeper.Millis, path *carrierPath) {
+// giveUpOn ends the wait for what an unreachable carrier owes, where that is safe:
+// single reads run elsewhere, and transactions that do not commit yet are rolled
+// back, so that their clients have time to run them again.
+func (m *Multiplexer) giveUpOn(now timekeeper.Millis, path *carrierPath) {
 	for _, j := range sortedJobs(m.forwards) {
-		if j.path == path && j.retryable() && now < j.deadline {
-			m.endForward(j)
-			m.emit(EndForward{Carrier: path.host, Work: j.work})
-			m.abandonForward(now, j, true, "the carrier does not respond")
+		if j.path != path || j.hasSideEffects() || now >= j.deadline {
+			continue
+		}
+		if !j.retryable() {
+			m.expireForward(now, j)
+			continue
 		}
+		m.endForward(j)
+		m.emit(EndForward{Carrier: path.host, Work: j.work})
+		m.abandonForward(now, j, true, "the carrier does not respond")
 	}
 }
 
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -45,8 +45,10 @@
 	running map[string]*job
 	// carrierCount is how many daemons of each failure domain carry the group's
 	// work, 0 if each daemon runs its own. carriers are the daemons of this
-	// failure domain in the order in which they do so.
+	// failure domain in the order in which they do so, and sharers is how many
+	// daemons send work to the group's servers.
 	carrierCount int
+	sharers      int
 	carriers     []placer.Host
 	lease        elector.PrimaryLease
 	samples      router.PositionSamples
@@ -67,7 +69,7 @@
 	g := &group{
 		name: name, mux: m, byID: map[string]*server{},
 		queue:   scheduler.New(m.settings.RankPolicies, m.settings.QueueLimit),
-		waiting: map[string]*job{}, running: map[string]*job{}, retryBudget: retryBudgetCap / 2,
+		waiting: map[string]*job{}, running: map[string]*job{}, retryBudget: retryBudgetCap / 2, sharers: 1,
 	}
 	g.updateCarriers()
 	for i := range g.costs {
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -63,7 +63,9 @@
 	}, []cataloger.Group{{Name: testGroup, ConnectionLimit: 16}}).WithIdleTransactionTimeout(3000)))
 	h.execute(h.m.SetServers(h.Now(), list))
 	h.setPrimary("s0", 1, false)
+	h.execute(h.m.SetPlacement(h.Now(), placement(1)))
 	h.After(1, h.tick)
+	h.run(membershipSettleTime + 10)
 	return h
 }
 
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -32,9 +32,13 @@
 	groups        map[string]*group
 	conns         map[pooler.Conn]*conn
 	placement     placer.Placement
-	lastConn      pooler.Conn
-	jobCount      uint64
-	draining      bool
+	// placedAt is when the first placement was set, and membershipSettled is set
+	// once it is membershipSettleTime ago.
+	placedAt          timekeeper.Millis
+	membershipSettled bool
+	lastConn          pooler.Conn
+	jobCount          uint64
+	draining          bool
 	// forwards are the jobs that carriers owe answers to, by work number, and
 	// paths the paths to carriers, by name.
 	forwards  map[uint64]*job
@@ -157,11 +161,6 @@
 // the first.
 const minShare = 2
 
-// sharers returns how many daemons send work to a group's servers.
-func (m *Multiplexer) sharers(g *group) int {
-	return m.placement.Sharers(g.carrierCount)
-}
-
 // share returns this daemon's share of the connections to each server of a
 // group: the server's limit without the reserved connections, divided by the
 // number of daemons that share them, but at least minShare. It is 1 for a group
@@ -172,21 +171,26 @@
 	switch {
 	case !found:
 		return 1
-	case !g.carries():
+	case !g.carries() || m.placedAt == 0:
 		return minShare
 	}
-	return max(minShare, (config.ConnectionLimit-m.settings.ReservedConnections)/m.sharers(g))
+	return max(minShare, (config.ConnectionLimit-m.settings.ReservedConnections)/max(g.sharers, 1))
 }
 
 // minIdle returns how many idle connections are kept open to each server of a
-// group: 1, or 0 if this daemon does not carry the group.
+// group: 1, or 0 if this daemon does not carry the group or does not know all
+// hosts yet.
 func (m *Multiplexer) minIdle(g *group) int {
-	if _, found := m.catalog.Group(g.name); !found || !g.carries() {
+	if _, found := m.catalog.Group(g.name); !found || !g.carries() || !m.membershipSettled {
 		return 0
 	}
 	return 1
 }
 
+// membershipSettleTime is how long after the first placement the list of hosts may
+// be incomplete, because all daemons may have started together.
+const membershipSettleTime timekeeper.Millis = 3000
+
 // shortIdleLimit is how long connections stay idle at a daemon that does not
 // carry the group. Servers have too few for all daemons.
 const shortIdleLimit timekeeper.Millis = 300
@@ -308,6 +312,10 @@
 	for _, name := range slices.Sorted(maps.Keys(m.groups)) {
 		m.groups[name].tick(now)
 	}
+	if !m.membershipSettled && m.placedAt > 0 && now-m.placedAt >= membershipSettleTime {
+		m.membershipSettled = true
+		m.updatePoolLimits()
+	}
 	m.tickForwards(now)
 	m.tickSessions(now)
 	m.updateIsolation(now)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,6 +39,7 @@
 	hosts   []Host
 	local   []Host
 	domains int
+	partial bool
 }
 
 // New returns the placement for the daemon self among the live hosts, which may
@@ -64,6 +65,18 @@
 	return p
 }
 
+// WithPartial returns a copy that says whether the hosts of other failure domains
+// are unknown for now.
+func (p Placement) WithPartial(partial bool) Placement {
+	p.partial = partial
+	return p
+}
+
+// Partial reports whether the hosts of other failure domains are unknown for now.
+func (p Placement) Partial() bool {
+	return p.partial
+}
+
 // Self returns the daemon whose view this is.
 func (p Placement) Self() Host {
 	return p.self
@@ -76,7 +89,7 @@
 
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
-	return p.self == other.self && slices.Equal(p.hosts, other.hosts)
+	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts)
 }
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -62,7 +62,10 @@
 	for _, name := range slices.Sorted(maps.Keys(leases)) {
 		out = append(out, c.mux.SetPrimaryLease(now, name, leases[name])...)
 	}
-	return append(out, c.mux.SetPlacement(now, c.placement(now))...), remaining
+	if c.elector.HostsKnown() {
+		out = append(out, c.mux.SetPlacement(now, c.placement(now))...)
+	}
+	return out, remaining
 }
 
 // placement returns which daemons are live.
@@ -73,5 +76,5 @@
 		hosts = append(hosts, placer.Host{Name: h.Name, Domain: h.Domain, Address: h.Address})
 	}
 	self := c.settings.Host
-	return placer.New(placer.Host{Name: self.Name, Domain: self.Domain, Address: self.Address}, hosts)
+	return placer.New(placer.Host{Name: self.Name, Domain: self.Domain, Address: self.Address}, hosts).WithPartial(c.elector.HeartbeatsStale(now))
 }
--- a/proxier/harness_test.go
+++ b/proxier/harness_test.go
@@ -291,7 +291,11 @@
 	every(1000, func() { sim.scanServers(d) })
 	every(2000, func() { sim.scanRows(d) })
 	every(100, func() { sim.feedRows(d) })
-	every(3000, func() { sim.heartbeat(d) })
+	beats := 0
+	every(1500, func() {
+		sim.heartbeat(d, beats%2 == 0)
+		beats++
+	})
 }
 
 // kill stops a daemon and closes its connections.
@@ -372,19 +376,24 @@
 	})
 }
 
-func (sim *simulation) heartbeat(d *fakeDaemon) {
+// heartbeat reads the heartbeats of all daemons, as the domain reader does, and first
+// writes that of the daemon if writes is set.
+func (sim *simulation) heartbeat(d *fakeDaemon, writes bool) {
 	if !sim.reachesStore(d) {
 		return
 	}
-	sim.version++
-	sim.rows["beat/"+d.name] = elector.Row{Version: sim.version}
-	d.watermarks.add(sim.Now(), sim.version)
+	if writes {
+		sim.version++
+		sim.rows["beat/"+d.name] = elector.Row{Version: sim.version}
+		d.watermarks.add(sim.Now(), sim.version)
+	}
 	all, _ := sim.readStore()
 	heartbeats := map[string]elector.Heartbeat{}
 	for _, row := range tableRows(all, "beat/") {
 		heartbeats[row.Key] = elector.Heartbeat{Count: row.Version}
 	}
-	sim.deliver(d, func() { d.logic.elector.SetHeartbeats(sim.Now(), heartbeats) })
+	readAt := sim.Now() - sim.readLag
+	sim.deliver(d, func() { d.logic.elector.SetHeartbeats(sim.Now(), readAt, heartbeats) })
 }
 
 // transact runs a transaction at the store.
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -92,6 +92,7 @@
 	// forwardWaits receive the answers to other daemons' statements.
 	forwardWaits  map[forwardWait]chan multiplexer.ForwardAnswer
 	cache         *cache
+	heartbeats    heartbeatRelay
 	watermarks    watermarks
 	registrations registrationTable
 	storeBackoff  *storeBackoff
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
@@ -128,7 +127,7 @@
 	requestedAt := p.clock.Now()
 	if reader := p.domainReader(); reader != "" {
 		rows, digest := p.cache.snapshot(table)
-		shared, err := p.peerClient.FetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest})
+		shared, err := p.fetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest})
 		switch {
 		case err == nil && shared.Unchanged:
 			return rows, shared.ReadAt(requestedAt), nil
@@ -278,7 +277,7 @@
 	}
 	requestedAt := p.clock.Now()
 	_, digest := p.cache.snapshot(watch.table)
-	shared, err := p.peerClient.FetchCached(ctx, reader, detourer.RowsRequest{Table: int(watch.table), KnownGeneration: generation, KnownDigest: digest, MaxWait: p.settings.Intervals.FeedWait})
+	shared, err := p.fetchCached(ctx, reader, detourer.RowsRequest{Table: int(watch.table), KnownGeneration: generation, KnownDigest: digest, MaxWait: p.settings.Intervals.FeedWait})
 	if err != nil {
 		return 0, false
 	}
@@ -355,40 +354,6 @@
 	}
 }
 
-// heartbeat writes this daemon's heartbeats and reads those of the other daemons.
-func (p *Proxy) heartbeat(ctx context.Context) {
-	count := int64(0)
-	p.poll(ctx, p.settings.Elector.HeartbeatInterval, func() error {
-		count++
-		value, err := json.Marshal(elector.Heartbeat{Incarnation: p.settings.Host.Incarnation, Count: count})
-		if err != nil {
-			return err
-		}
-		call, cancel := p.callContext(ctx)
-		result, _ := p.transact(call, TableHeartbeats, elector.Transaction{Set: []elector.Row{{Key: p.settings.Host.Name, Value: value}}})
-		cancel()
-		rows, _, err := p.scan(ctx, TableHeartbeats, "store: beats")
-		if err != nil {
-			return err
-		}
-		heartbeats := map[string]elector.Heartbeat{}
-		for _, row := range rows.Rows {
-			var heartbeat elector.Heartbeat
-			if json.Unmarshal(row.Value, &heartbeat) == nil { // skip rows of other programs
-				heartbeats[row.Key] = heartbeat
-			}
-		}
-		p.withElector(func(now timekeeper.Millis) []elector.Command {
-			p.elector.SetHeartbeats(now, heartbeats)
-			return nil
-		})
-		if result != elector.Applied {
-			return &Error{Op: "heartbeat", Kind: KindUnconfirmed, Text: result.String()}
-		}
-		return nil
-	})
-}
-
 // Shutdown drains the daemon and blocks until it is done, at most for ShutdownGrace.
 // The daemon reports that it is not ready, finishes statements in flight, and ends idle
 // sessions once the load balancer has noticed. It accepts statements until it returns.
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -28,7 +28,7 @@
 			rows, err := p.deps.Scan(ctx, Table(table))
 			return detourer.Rows(rows), err
 		},
-		FetchCached: p.cache.fetch,
+		FetchCached: p.serveCached,
 		Connect:     p.connectFor,
 		Forward:     p.forwardHandler(),
 		Transact: func(ctx context.Context, request detourer.TransactionRequest) elector.Result {
