--- a/detourer/link.go
+++ b/detourer/link.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// broken reports whether the link was open and has ended. Nothing can be sent on it.
+func (c *link) broken() bool {
+	select {
+	case <-c.ready:
+	default:
+		return false
+	}
+	if c.err != nil {
+		return true
+	}
+	select {
+	case <-c.rpc.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // get returns the open link to an address. It opens one if there is none.
 func (l *Links) get(ctx context.Context, address string) (*link, error) {
 	l.mu.Lock()
@@ -188,7 +206,7 @@
 		return nil, &Error{Op: methodForward, Kind: KindConnection, Text: "the daemon ends"}
 	}
 	conn := l.links[address]
-	opens := conn == nil
+	opens := conn == nil || conn.broken()
 	if opens {
 		conn = &link{ready: make(chan struct{})}
 		l.links[address] = conn
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -156,6 +156,33 @@
 	return placer.Host{}, false
 }
 
+// CarrierLoad describes what a daemon does for others and lets others do.
+type CarrierLoad struct {
+	// Groups is how many groups the daemon carries for its failure domain.
+	Groups int
+	// Forwarded is how many single statements and transactions of other daemons it
+	// runs, and Forwards how many statements carriers owe it answers to.
+	Forwarded, Forwards int
+	// Unreachable is how many carriers do not respond to it.
+	Unreachable int
+}
+
+// CarrierLoad returns the daemon's present load as a carrier and as a gateway.
+func (m *Multiplexer) CarrierLoad() CarrierLoad {
+	load := CarrierLoad{Forwarded: len(m.forwarded), Forwards: len(m.forwards)}
+	for _, g := range m.groups {
+		if g.carrierCount > 0 && g.carries() {
+			load.Groups++
+		}
+	}
+	for _, path := range m.paths {
+		if path.unreachable {
+			load.Unreachable++
+		}
+	}
+	return load
+}
+
 // startJob runs a new job over a pinned connection, at a carrier or from this
 // daemon's queue.
 func (m *Multiplexer) startJob(now timekeeper.Millis, j *job) {
--- a/multiplexer/forward.go
+++ b/multiplexer/forward.go
@@ -120,7 +120,7 @@
 		return refuse(ForwardAnswer{Answer: Answer{Code: CodeAborted, Text: "the transaction is not open at its carrier"}})
 	case s != nil && s.job != nil:
 		return refuse(ForwardAnswer{Answer: Answer{Code: CodeMalformed, Text: "a statement is in progress"}})
-	case r.Start != StartContinue && s != nil:
+	case r.Start != StartContinue && (s != nil || m.finished[work] > 0):
 		return refuse(ForwardAnswer{Answer: Answer{Code: CodeMalformed, Text: "the work is known already"}})
 	case r.Start != StartContinue && !m.canCarry(now, r):
 		return refuse(ForwardAnswer{Unavailable: true, Answer: Answer{Code: CodeNotRun, Text: "the carrier can't run the group's work", RetryAfter: defaultRetryDelay}})
@@ -185,7 +185,8 @@
 }
 
 func (m *Multiplexer) endForwarded(now timekeeper.Millis, s *session) []Command {
-	delete(m.forwarded, *s.work)
+	m.forgetForwarded(s)
+	m.sessions[s.id] = s // Disconnect removes it
 	return m.Disconnect(now, s.id)
 }
 
@@ -196,8 +197,31 @@
 		m.emit(ForwardReply{Link: s.work.link, Work: s.work.work, Answer: ForwardAnswer{Answer: a}})
 	}
 	if s.tx == nil || s.tx.aborted {
-		delete(m.forwarded, *s.work)
-		delete(m.sessions, s.id)
+		m.forgetForwarded(s)
+	}
+}
+
+// finishedRetention is how long the numbers of finished forwarded work are kept, so
+// that a message that arrives twice does not run it again.
+const finishedRetention timekeeper.Millis = 10_000
+
+// forgetForwarded removes the session of forwarded work that has ended.
+func (m *Multiplexer) forgetForwarded(s *session) {
+	delete(m.forwarded, *s.work)
+	delete(m.sessions, s.id)
+	m.finished[*s.work] = m.lastTick + 1
+}
+
+// tickFinished forgets the numbers of forwarded work that ended long ago.
+func (m *Multiplexer) tickFinished(now timekeeper.Millis) {
+	if now < m.finishedDue {
+		return
+	}
+	m.finishedDue = now + finishedRetention/4
+	for work, endedAt := range m.finished {
+		if now-endedAt > finishedRetention {
+			delete(m.finished, work)
+		}
 	}
 }
 
@@ -205,7 +229,6 @@
 // two statements.
 func (m *Multiplexer) dropAborted(s *session) {
 	if s.work != nil && s.job == nil {
-		delete(m.forwarded, *s.work)
-		delete(m.sessions, s.id)
+		m.forgetForwarded(s)
 	}
 }
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -39,14 +39,20 @@
 	lastConn          pooler.Conn
 	jobCount          uint64
 	draining          bool
+	// leaseHeld is set with the first primary lease.
+	leaseHeld bool
 	// forwards are the jobs that carriers owe answers to, by work number, and
 	// paths the paths to carriers, by name.
 	forwards  map[uint64]*job
 	workCount uint64
 	paths     map[string]*carrierPath
 	// forwarded are the sessions that stand for other daemons' clients.
+	// finished are the numbers of ended work with the time of the end, and
+	// finishedDue is when the old ones are forgotten next.
 	forwarded      map[forwardedWork]*session
 	forwardedCount uint64
+	finished       map[forwardedWork]timekeeper.Millis
+	finishedDue    timekeeper.Millis
 	lastTick       timekeeper.Millis
 	// storeUnreachable says that the store does not answer this daemon.
 	// isolatedSince is since when most primaries do not answer it either; 0 if
@@ -69,6 +75,7 @@
 		forwards:  map[uint64]*job{},
 		paths:     map[string]*carrierPath{},
 		forwarded: map[forwardedWork]*session{},
+		finished:  map[forwardedWork]timekeeper.Millis{},
 	}
 }
 
@@ -91,9 +98,10 @@
 }
 
 // Ready reports whether the daemon can serve clients: a catalog is loaded, some
-// group has a registered server, and the daemon neither drains nor is isolated.
+// group has a registered server, the daemon has held a primary lease, and it
+// neither drains nor is isolated.
 func (m *Multiplexer) Ready() bool {
-	if !m.catalogLoaded || m.draining || m.isolatedSince > 0 {
+	if !m.catalogLoaded || !m.leaseHeld || m.draining || m.isolatedSince > 0 {
 		return false
 	}
 	for _, g := range m.groups {
@@ -153,6 +161,7 @@
 func (m *Multiplexer) setPoolLimits(g *group, s *server) {
 	s.pool.SetShare(m.share(g))
 	s.pool.SetMinIdle(m.minIdle(g))
+	s.pool.SetMinOpen(m.minOpen(g))
 	s.pool.SetSurplusIdleLimit(m.surplusIdleLimit(g))
 }
 
@@ -179,14 +188,29 @@
 
 // minIdle returns how many idle connections are kept open to each server of a
 // group: 1, or 0 if this daemon does not carry the group or does not know all
-// hosts yet.
+// hosts yet, or if it carries the group for others, see minOpen.
 func (m *Multiplexer) minIdle(g *group) int {
 	if _, found := m.catalog.Group(g.name); !found || !g.carries() || !m.membershipSettled {
 		return 0
 	}
+	if g.carrierCount > 0 {
+		return 0
+	}
 	return 1
 }
 
+// carrierMinOpen is how many connections a carrier keeps open to each server, busy or
+// idle.
+const carrierMinOpen = 2
+
+// minOpen returns how many connections are kept open to each server of a group.
+func (m *Multiplexer) minOpen(g *group) int {
+	if _, found := m.catalog.Group(g.name); !found || g.carrierCount == 0 || !g.carries() || !m.membershipSettled {
+		return 0
+	}
+	return min(carrierMinOpen, m.share(g)/2)
+}
+
 // membershipSettleTime is how long after the first placement the list of hosts may
 // be incomplete, because all daemons may have started together.
 const membershipSettleTime timekeeper.Millis = 3000
@@ -198,7 +222,7 @@
 // surplusIdleLimit returns how long connections beyond the first stay idle. If
 // it is 0, idleLimit applies to them too.
 func (m *Multiplexer) surplusIdleLimit(g *group) timekeeper.Millis {
-	if m.minIdle(g) > 0 {
+	if m.minIdle(g) > 0 || m.minOpen(g) > 0 {
 		return 0
 	}
 	return shortIdleLimit
@@ -228,6 +252,7 @@
 // may use it.
 func (m *Multiplexer) SetPrimaryLease(now timekeeper.Millis, name string, lease elector.PrimaryLease) []Command {
 	g := m.group(name)
+	m.leaseHeld = m.leaseHeld || now < lease.ValidUntil
 	g.setLease(now, lease)
 	g.dispatchQueued(now)
 	return m.takeCommands()
@@ -317,6 +342,7 @@
 		m.updatePoolLimits()
 	}
 	m.tickForwards(now)
+	m.tickFinished(now)
 	m.tickSessions(now)
 	m.updateIsolation(now)
 	m.closeUnservableSessions(now)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -35,6 +35,7 @@
 	nextConn func() Conn
 	limit    int
 	minIdle  int
+	minOpen  int
 	share    int
 	idle     []idle
 	busy     map[Conn]bool
@@ -80,6 +81,11 @@
 	p.minIdle = minIdle
 }
 
+// SetMinOpen sets how many connections are kept open, whether busy or idle.
+func (p *Pool) SetMinOpen(minOpen int) {
+	p.minOpen = minOpen
+}
+
 // Size returns how many connections are open or being opened.
 func (p *Pool) Size() int {
 	return len(p.idle) + len(p.busy) + len(p.opening)
@@ -174,7 +180,7 @@
 	if now < p.openAfter {
 		return nil, toClose
 	}
-	wanted := max(demand, p.minIdle) - len(p.idle) - len(p.opening)
+	wanted := max(max(demand, p.minIdle)-len(p.idle)-len(p.opening), p.minOpen-p.Size())
 	for range min(wanted, p.share-p.Size()) {
 		conn := p.nextConn()
 		p.opening[conn] = true
@@ -193,7 +199,7 @@
 			limit = p.surplusIdleLimit
 		}
 		overShare := p.Size() > p.share
-		expired := len(p.idle) > p.minIdle && now-oldest.since > limit
+		expired := len(p.idle) > p.minIdle && p.Size() > p.minOpen && now-oldest.since > limit
 		if !overShare && !expired {
 			break
 		}
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -83,3 +83,30 @@
 		})
 	})
 }
+
+// TestMinOpen guards against a pool that opens a new connection whenever one becomes
+// busy, only to keep another one idle, and closes it soon after.
+func TestMinOpen(t *testing.T) {
+	last := pooler.Conn(0)
+	p := pooler.New(10, 0, func() pooler.Conn { last++; return last }).WithIdleLimit(100)
+	p.SetMinOpen(2)
+	open, _ := p.Plan(0, 0)
+	if len(open) != 2 {
+		t.Fatalf("opens %d connections, want 2", len(open))
+	}
+	for _, c := range open {
+		p.MarkOpen(0, c)
+	}
+	busy, _ := p.Take(scheduler.RankUrgent)
+	if open, closed := p.Plan(10, 0); len(open)+len(closed) != 0 {
+		t.Errorf("opens %v and closes %v with one of two connections busy, want none", open, closed)
+	}
+	p.Put(20, busy)
+	if open, closed := p.Plan(10_000, 0); len(open)+len(closed) != 0 {
+		t.Errorf("opens %v and closes %v after a long idle time, want none", open, closed)
+	}
+	p.SetMinOpen(0)
+	if _, closed := p.Plan(10_000, 0); len(closed) != 2 {
+		t.Errorf("closes %d connections without a minimum, want 2", len(closed))
+	}
+}
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -64,6 +64,10 @@
 	p.metrics.registerGauge("heatherhall_server_connections", "Connections to backend servers.", locked(func() float64 { return float64(len(p.workers)) }))
 	p.metrics.registerGauge("heatherhall_catalog_version", "Version of the catalog in force.", locked(func() float64 { return float64(p.mux.CatalogVersion()) }))
 	p.metrics.registerGauge("heatherhall_hosts", "Daemons that share the servers' connections.", locked(func() float64 { return float64(len(p.elector.LiveHosts(p.clock.Now()))) }))
+	p.metrics.registerGauge("heatherhall_groups_carried", "Database groups whose statements this daemon runs for its failure domain.", locked(func() float64 { return float64(p.mux.CarrierLoad().Groups) }))
+	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
+	p.metrics.registerGauge("heatherhall_forwards_waiting", "Statements that carriers owe this daemon answers to.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwards) }))
+	p.metrics.registerGauge("heatherhall_carriers_unreachable", "Carriers that do not respond to this daemon.", locked(func() float64 { return float64(p.mux.CarrierLoad().Unreachable) }))
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
