--- a/multiplexer/carrier_test.go
+++ b/multiplexer/carrier_test.go
@@ -470,3 +470,26 @@
 		}
 	})
 }
+
+// TestTransactionThatItsCarrierLost guards against a statement that runs outside its
+// transaction, because the carrier lost the server connection between two statements.
+func TestTransactionThatItsCarrierLost(t *testing.T) {
+	f := newFleet(t, 78)
+	carrier, gateway := f.carrier(0)
+	var last Answer
+	record := func(a Answer, _ timekeeper.Millis) { last = a }
+	id := gateway.ask("urgent", Statement{ID: "b", Kind: KindBegin}, record)
+	gateway.again(id, aRead, record)
+	f.RunUntil(f.Now()+200, nil)
+	for conn, c := range carrier.mux.conns {
+		if c.pinnedSession != nil {
+			carrier.execute(carrier.mux.ConnLost(f.Now(), conn))
+		}
+	}
+	ran := carrier.ran
+	gateway.again(id, aWrite, record)
+	f.RunUntil(f.Now()+200, nil)
+	if last.Code != CodeAborted || carrier.ran != ran {
+		t.Errorf("got %+v, and the carrier ran %d statements; want aborted and none", last, carrier.ran-ran)
+	}
+}
--- a/multiplexer/forward.go
+++ b/multiplexer/forward.go
@@ -116,7 +116,10 @@
 	}
 	s := m.forwarded[work]
 	switch {
-	case r.Start == StartContinue && (s == nil || s.tx == nil):
+	case r.Start == StartContinue && (s == nil || s.tx == nil || s.tx.aborted):
+		if s != nil {
+			m.forgetForwarded(s)
+		}
 		return refuse(ForwardAnswer{Answer: Answer{Code: CodeAborted, Text: "the transaction is not open at its carrier"}})
 	case s != nil && s.job != nil:
 		return refuse(ForwardAnswer{Answer: Answer{Code: CodeMalformed, Text: "a statement is in progress"}})
