Log where a configuration was read and how old the reading was

What operators saw: a version in force, without its source. A daemon that waits for its domain reader looked like one that has nothing to apply.

Change: a line "version read" with the source and the age; the dependency "domain reader" lost or in touch; the gauge heatherhall_catalog_age_seconds. A reading carries its source and time together. No decision changes: the cache's time of reading now also advances when the domain reader says "unchanged", which that answer proves.

--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -115,6 +115,22 @@
 	t.replace(next)
 }
 
+// confirm records that the snapshot of a table was still current as of readAt.
+func (c *cache) confirm(table Table, readAt timekeeper.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.getOrCreate(table)
+	t.readAt = max(t.readAt, readAt)
+}
+
+// readAt returns the time as of which the snapshot of a table is current, or 0 if there
+// is none.
+func (c *cache) readAt(table Table) timekeeper.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.getOrCreate(table).readAt
+}
+
 // replace sets the rows and ends the waits of other daemons' long polls.
 func (t *cachedTable) replace(rows map[string]elector.Row) {
 	t.rows = rows
--- a/proxier/heartbeat.go
+++ b/proxier/heartbeat.go
@@ -80,6 +80,7 @@
 func (p *Proxy) fetchCached(ctx context.Context, reader string, request detourer.RowsRequest) (detourer.CachedRows, error) {
 	request.From, request.Incarnation = p.settings.Host.Name, p.settings.Host.Incarnation
 	rows, err := p.peerClient.FetchCached(ctx, reader, request)
+	p.recordDependency("domain reader", err)
 	if err == nil {
 		p.heartbeats.setCovered(p.clock.Now(), rows.Covered)
 	}
@@ -155,19 +156,19 @@
 
 // readHeartbeats reads the heartbeats of all daemons.
 func (p *Proxy) readHeartbeats(ctx context.Context) error {
-	rows, readAt, err := p.scan(ctx, TableHeartbeats, "store: beats")
+	snapshot, err := p.scan(ctx, TableHeartbeats, "store: beats")
 	if err != nil {
 		return err
 	}
 	heartbeats := map[string]elector.Heartbeat{}
-	for _, row := range rows.Rows {
+	for _, row := range snapshot.Rows.Rows {
 		var heartbeat elector.Heartbeat
 		if json.Unmarshal(row.Value, &heartbeat) == nil { // skip rows of other programs
 			heartbeats[row.Key] = heartbeat
 		}
 	}
 	p.withElector(func(now timekeeper.Millis) []elector.Command {
-		p.elector.SetHeartbeats(now, readAt, heartbeats)
+		p.elector.SetHeartbeats(now, snapshot.readAt, heartbeats)
 		return nil
 	})
 	return nil
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -63,6 +63,9 @@
 	p.metrics.registerGauge("heatherhall_statements_waiting", "Statements that wait or run.", locked(func() float64 { return float64(p.mux.InFlight()) }))
 	p.metrics.registerGauge("heatherhall_server_connections", "Connections to backend servers.", locked(func() float64 { return float64(len(p.workers)) }))
 	p.metrics.registerGauge("heatherhall_catalog_version", "Version of the catalog in force.", locked(func() float64 { return float64(p.mux.CatalogVersion()) }))
+	p.metrics.registerGauge("heatherhall_catalog_age_seconds", "Age of the last reading of the catalog.", locked(func() float64 {
+		return float64(p.clock.Now()-p.cache.readAt(TableCatalog)) / 1000
+	}))
 	p.metrics.registerGauge("heatherhall_hosts", "Daemons that share the servers' connections.", locked(func() float64 { return float64(len(p.elector.LiveHosts(p.clock.Now()))) }))
 	p.metrics.registerGauge("heatherhall_groups_carried", "Database groups whose statements this daemon runs for its failure domain.", locked(func() float64 { return float64(p.mux.CarrierLoad().Groups) }))
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
--- a/proxier/registrations.go
+++ b/proxier/registrations.go
@@ -94,12 +94,12 @@
 func (p *Proxy) watchServers(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
 		table: TableServers, name: "store: servers", pause: registrationPause,
-		onSnapshot: func(rows Rows, _ timekeeper.Millis) {
-			p.registrations.replace(rows)
+		onSnapshot: func(r reading) {
+			p.registrations.replace(r.Rows)
 			p.applyServers()
 		},
-		onChange: func(rows Rows) {
-			p.registrations.apply(rows)
+		onChange: func(r reading) {
+			p.registrations.apply(r.Rows)
 			p.applyServers()
 		},
 		onUnchanged: func(timekeeper.Millis) {},
@@ -110,11 +110,11 @@
 // feed missed.
 func (p *Proxy) rescanServers(ctx context.Context) {
 	p.poll(ctx, p.settings.Intervals.ServerRescan, func() error {
-		rows, _, err := p.scan(ctx, TableServers, "store: servers")
+		snapshot, err := p.scan(ctx, TableServers, "store: servers")
 		if err != nil {
 			return err
 		}
-		p.registrations.replace(rows)
+		p.registrations.replace(snapshot.Rows)
 		p.applyServers()
 		return nil
 	})
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -118,43 +118,57 @@
 	return p.elector.DomainReaderAddress(p.clock.Now())
 }
 
+// reading is a snapshot of a table, or the rows that changed since the last one.
+type reading struct {
+	Rows
+	// readAt is the time as of which the rows are current.
+	readAt timekeeper.Millis
+	// source is the address of the daemon that the rows come from, or sourceStore.
+	source string
+}
+
+// sourceStore is the source of readings that do not come from another daemon's cache.
+const sourceStore = "store"
+
 // scan reads all rows of a table within CallTimeout: from the cache of the domain
 // reader, or from the store if this daemon is the domain reader, none is known or the
-// request fails. It also returns the time as of which the rows are current.
-func (p *Proxy) scan(ctx context.Context, table Table, name string) (Rows, timekeeper.Millis, error) {
+// request fails.
+func (p *Proxy) scan(ctx context.Context, table Table, name string) (reading, error) {
 	call, cancel := p.callContext(ctx)
 	defer cancel()
 	requestedAt := p.clock.Now()
 	if reader := p.domainReader(); reader != "" {
 		rows, digest := p.cache.snapshot(table)
 		shared, err := p.fetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest})
+		readAt := shared.ReadAt(requestedAt)
 		switch {
 		case err == nil && shared.Unchanged:
-			return rows, shared.ReadAt(requestedAt), nil
+			p.cache.confirm(table, readAt)
+			return reading{Rows: rows, readAt: readAt, source: reader}, nil
 		case err == nil && !shared.TooLarge:
 			rows = Rows{Rows: shared.Rows, Version: shared.Version}
-			p.cache.set(table, rows, shared.ReadAt(requestedAt))
-			return rows, shared.ReadAt(requestedAt), nil
+			p.cache.set(table, rows, readAt)
+			return reading{Rows: rows, readAt: readAt, source: reader}, nil
 		}
 	}
 	return p.scanStore(call, table, name)
 }
 
-// scanStore reads all rows of a table from the store. It also returns the time as of
-// which they are current: when the store was asked, or for TableCoordination the time
-// that the watermarks guarantee.
-func (p *Proxy) scanStore(ctx context.Context, table Table, name string) (Rows, timekeeper.Millis, error) {
+// scanStore reads all rows of a table from the store. They are current as of when the
+// store was asked, or for TableCoordination as of the time that the watermarks
+// guarantee.
+func (p *Proxy) scanStore(ctx context.Context, table Table, name string) (reading, error) {
 	readAt := p.clock.Now()
 	rows, err := p.scanHedged(ctx, table)
 	p.recordDependency(name, err)
 	if err != nil {
-		return rows, readAt, err
+		return reading{}, err
 	}
 	if table == TableCoordination {
 		readAt = p.watermarks.freshAsOf(readAt, rows.Version)
 	}
 	p.cache.set(table, rows, readAt)
-	return rows, readAt, nil
+	return reading{Rows: rows, readAt: readAt, source: sourceStore}, nil
 }
 
 // poll calls f, which calls the store, at an interval until ctx ends. After a failure
@@ -192,10 +206,10 @@
 	}
 }
 
-// setCatalog passes the catalogs in rows to the multiplexer. It logs and skips rows
-// that can't be decoded.
-func (p *Proxy) setCatalog(rows []elector.Row) {
-	for _, row := range rows {
+// setCatalog passes the catalogs that were read to the multiplexer, and logs where a
+// newer one came from. It logs and skips rows that can't be decoded.
+func (p *Proxy) setCatalog(r reading) {
+	for _, row := range r.Rows.Rows {
 		if row.Deleted {
 			continue
 		}
@@ -206,9 +220,17 @@
 			}})
 			continue
 		}
-		if catalog.Version > 0 {
-			p.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.SetCatalog(now, catalog) })
+		if catalog.Version <= 0 {
+			continue
 		}
+		p.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command {
+			if catalog.Version > p.mux.CatalogVersion() {
+				p.log.LogDecision(observer.Decision{Part: "catalog", Outcome: "version read", Inputs: []observer.Field{
+					observer.F("version", catalog.Version), observer.F("source", r.source), observer.F("age", int64(now-r.readAt)),
+				}})
+			}
+			return p.mux.SetCatalog(now, catalog)
+		})
 	}
 }
 
@@ -220,10 +242,10 @@
 	// pause is the time between an answer and the next request. Changes in between
 	// arrive together.
 	pause timekeeper.Millis
-	// onSnapshot is called with all rows and the time as of which they are current.
-	onSnapshot func(rows Rows, readAt timekeeper.Millis)
+	// onSnapshot is called with all rows.
+	onSnapshot func(r reading)
 	// onChange is called with rows that changed.
-	onChange func(rows Rows)
+	onChange func(r reading)
 	// onUnchanged is called when the rows are unchanged and current as of
 	// readAt.
 	onUnchanged func(readAt timekeeper.Millis)
@@ -241,12 +263,12 @@
 		}
 		generation = 0
 		if version == 0 {
-			rows, readAt, err := p.scan(ctx, watch.table, watch.name)
+			snapshot, err := p.scan(ctx, watch.table, watch.name)
 			if err != nil {
 				return err
 			}
-			watch.onSnapshot(rows, readAt)
-			version = rows.Version
+			watch.onSnapshot(snapshot)
+			version = snapshot.Version
 			return nil
 		}
 		call, cancel := context.WithTimeout(ctx, (p.settings.Intervals.FeedWait + feedTimeoutMargin).Duration())
@@ -260,7 +282,7 @@
 		}
 		p.cache.apply(watch.table, rows, requestedAt)
 		if len(rows.Rows) > 0 {
-			watch.onChange(rows)
+			watch.onChange(reading{Rows: rows, readAt: requestedAt, source: sourceStore})
 		}
 		version = max(version, rows.Version)
 		return nil
@@ -281,21 +303,23 @@
 	if err != nil {
 		return 0, false
 	}
+	readAt := shared.ReadAt(requestedAt)
 	if shared.Unchanged {
-		watch.onUnchanged(shared.ReadAt(requestedAt))
+		p.cache.confirm(watch.table, readAt)
+		watch.onUnchanged(readAt)
 		return shared.Generation, true
 	}
-	rows, readAt := Rows{Rows: shared.Rows, Version: shared.Version}, shared.ReadAt(requestedAt)
+	snapshot := reading{Rows: Rows{Rows: shared.Rows, Version: shared.Version}, readAt: readAt, source: reader}
 	if shared.TooLarge {
 		call, cancel := p.callContext(ctx)
 		defer cancel()
-		if rows, readAt, err = p.scanStore(call, watch.table, watch.name); err != nil {
+		if snapshot, err = p.scanStore(call, watch.table, watch.name); err != nil {
 			return 0, false
 		}
 	} else {
-		p.cache.set(watch.table, rows, readAt)
+		p.cache.set(watch.table, snapshot.Rows, readAt)
 	}
-	watch.onSnapshot(rows, readAt)
+	watch.onSnapshot(snapshot)
 	return shared.Generation, true
 }
 
@@ -303,8 +327,8 @@
 func (p *Proxy) watchCatalog(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
 		table: TableCatalog, name: "store: catalog",
-		onSnapshot:  func(rows Rows, _ timekeeper.Millis) { p.setCatalog(rows.Rows) },
-		onChange:    func(rows Rows) { p.setCatalog(rows.Rows) },
+		onSnapshot:  p.setCatalog,
+		onChange:    p.setCatalog,
 		onUnchanged: func(timekeeper.Millis) {},
 	})
 }
@@ -313,9 +337,9 @@
 func (p *Proxy) watchCoordination(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
 		table: TableCoordination, name: "store: rows", onSnapshot: p.applyRows,
-		onChange: func(rows Rows) {
+		onChange: func(r reading) {
 			p.withElector(func(now timekeeper.Millis) []elector.Command {
-				return p.elector.ApplyChanges(now, rows.Rows, rows.Version)
+				return p.elector.ApplyChanges(now, r.Rows.Rows, r.Version)
 			})
 		},
 		onUnchanged: func(readAt timekeeper.Millis) {
@@ -326,10 +350,10 @@
 
 // applyRows passes all rows of TableCoordination to the elector and adds the daemons
 // that they name to the peers.
-func (p *Proxy) applyRows(rows Rows, readAt timekeeper.Millis) {
+func (p *Proxy) applyRows(r reading) {
 	defer func() { p.peerClient.AddPeers(p.peers()) }()
 	p.withElector(func(now timekeeper.Millis) []elector.Command {
-		return p.elector.SetRows(now, readAt, rows.Rows, rows.Version)
+		return p.elector.SetRows(now, r.readAt, r.Rows.Rows, r.Version)
 	})
 }
 
@@ -338,10 +362,10 @@
 func (p *Proxy) rescanCoordination(ctx context.Context) {
 	for {
 		pause := p.settings.Intervals.CoordinationRescan
-		rows, readAt, err := p.scan(ctx, TableCoordination, "store: rows")
+		snapshot, err := p.scan(ctx, TableCoordination, "store: rows")
 		if err == nil {
 			p.storeBackoff.reset()
-			p.applyRows(rows, readAt)
+			p.applyRows(snapshot)
 		} else {
 			pause = p.settings.Intervals.MinRetry
 		}
