Read the store when the domain reader's rows are older than a table may be

What callers saw: on the grown deployments, databases that the operators had added more than 5 s before were refused, by daemons that reached the store.

Cause: the domain reader was cut off. It served its cache until that was 7 s old, and a follower took "unchanged" for news. The limit suits primary leases, which count the age; the catalog and the servers' registrations have shorter bounds.

Change: a request states the age that it accepts, 2.4 s for the catalog and 4.5 s for registrations; the reader's answer doesn't wait beyond it, and the follower then reads the store. An empty answer of the feed is current as of the end of its wait.

Why it works: every link of the chain now proves its age against the bound of what depends on it, so a version is late by 2.4 s and one read at most.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -61,6 +61,9 @@
 	KnownDigest     uint64 `json:"digest,omitempty"`
 	// MaxWait is how long the answer may wait for rows that differ from the known ones.
 	MaxWait timekeeper.Millis `json:"wait,omitempty"`
+	// MaxAge is how old the rows may be that the requester accepts. The answer does not
+	// wait for longer than they are younger. 0 leaves the limit to the other daemon.
+	MaxAge timekeeper.Millis `json:"fresh,omitempty"`
 	// From and Incarnation are the requester's name and run. The request shows that it
 	// is live.
 	From        string `json:"from,omitempty"`
--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -170,36 +170,52 @@
 
 // fetch answers another daemon's request for a table. If the requester already has the
 // rows, it waits for a change, for request.MaxWait or maxShareWait, whichever is less.
-// It returns an error of KindStale if the snapshot is missing or older than maxAge.
+// It returns an error of KindStale if the snapshot is missing or older than maxAge or
+// request.MaxAge, also when it becomes so during the wait.
 func (c *cache) fetch(ctx context.Context, request detourer.RowsRequest) (detourer.CachedRows, error) {
 	startedAt := c.clock.Now()
-	c.mu.Lock()
-	t := c.getOrCreate(Table(request.Table))
-	changed, wait := t.changed, t.knownTo(request) && request.MaxWait > 0
-	c.mu.Unlock()
-	if wait {
+	limit := c.maxAge
+	if request.MaxAge > 0 {
+		limit = min(limit, request.MaxAge)
+	}
+	deadline := time.NewTimer(min(request.MaxWait, maxShareWait).Duration())
+	defer deadline.Stop()
+	for waited := request.MaxWait <= 0; ; {
+		shared, changed, err := c.share(request, limit)
+		if err != nil || waited || !shared.Unchanged {
+			shared.Waited = c.clock.Now() - startedAt
+			return shared, err
+		}
 		select {
 		case <-ctx.Done():
 			return detourer.CachedRows{}, ctx.Err()
 		case <-changed:
-		case <-time.After(min(request.MaxWait, maxShareWait).Duration()):
+		case <-deadline.C:
+			waited = true
+		case <-time.After((limit - shared.Age + 1).Duration()):
 		}
 	}
+}
+
+// share returns the answer to a request as of now, and a channel that is closed at the
+// next change of the rows. It returns an error of KindStale if the snapshot is missing
+// or older than limit.
+func (c *cache) share(request detourer.RowsRequest, limit timekeeper.Millis) (detourer.CachedRows, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	age := now - t.readAt
-	if t.rows == nil || age > c.maxAge {
-		return detourer.CachedRows{}, &Error{Op: "share", Kind: KindStale, Text: "the last reading is too old"}
+	t := c.getOrCreate(Table(request.Table))
+	age := c.clock.Now() - t.readAt
+	if t.rows == nil || age > limit {
+		return detourer.CachedRows{}, nil, &Error{Op: "share", Kind: KindStale, Text: "the last reading is too old"}
 	}
-	shared := detourer.CachedRows{Version: t.version, Generation: t.generation, Age: age, Waited: now - startedAt, Unchanged: t.knownTo(request)}
+	shared := detourer.CachedRows{Version: t.version, Generation: t.generation, Age: age, Unchanged: t.knownTo(request)}
 	shared.TooLarge = !shared.Unchanged && t.size > maxSharedSize
 	if !shared.Unchanged && !shared.TooLarge {
 		for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 			shared.Rows = append(shared.Rows, t.rows[key])
 		}
 	}
-	return shared, nil
+	return shared, t.changed, nil
 }
 
 // maxShareWait is the maximum time of another daemon's long poll.
--- a/proxier/cache_test.go
+++ b/proxier/cache_test.go
@@ -53,6 +53,45 @@
 	}
 }
 
+// TestFetchRejectsOldSnapshot guards against a daemon that waits for changes at a domain
+// reader whose snapshot becomes older than the daemon accepts.
+func TestFetchRejectsOldSnapshot(t *testing.T) {
+	const limit timekeeper.Millis = 200
+	tests := map[string]struct {
+		// confirmEvery is the time between two readings of the domain reader; 0 for
+		// none after the first.
+		confirmEvery timekeeper.Millis
+		wantErr      bool
+	}{
+		"no reading during the wait":   {wantErr: true},
+		"readings during the wait":     {confirmEvery: 50},
+		"too few readings in the wait": {confirmEvery: 350, wantErr: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := timekeeper.BootTime()
+			c := newCache(clock, maxSharedAge)
+			c.set(TableCatalog, rowsOf(5, "a"), clock.Now())
+			_, digest := c.snapshot(TableCatalog)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for test.confirmEvery > 0 && sleep(ctx, test.confirmEvery.Duration()) {
+					c.confirm(TableCatalog, clock.Now())
+				}
+			}()
+			got, err := c.fetch(ctx, detourer.RowsRequest{Table: int(TableCatalog), KnownDigest: digest, MaxWait: 600, MaxAge: limit})
+			cancel()
+			<-done
+			if test.wantErr != (err != nil) || err == nil && (!got.Unchanged || got.Age > limit || got.Waited < 600) {
+				t.Errorf("got %+v, %v, want an error: %v", got, err, test.wantErr)
+			}
+		})
+	}
+}
+
 // TestCacheLimitsTransfers guards against overloading narrow links when many daemons
 // request a large catalog. Rows that the requester has are not sent again, and large
 // tables are not sent at all.
--- a/proxier/registrations.go
+++ b/proxier/registrations.go
@@ -94,6 +94,7 @@
 func (p *Proxy) watchServers(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
 		table: TableServers, name: "store: servers", pause: registrationPause,
+		feedWait: p.settings.Intervals.FeedWait, followWait: p.settings.Intervals.FeedWait,
 		onSnapshot: func(r reading) {
 			p.registrations.replace(r.Rows)
 			p.applyServers()
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -24,10 +24,34 @@
 	// feedTimeoutMargin is added to FeedWait for the timeout of a long poll for
 	// changes.
 	feedTimeoutMargin timekeeper.Millis = 700
-	// maxSharedAge is the maximum age of a snapshot that is sent to other daemons.
+	// maxSharedAge is the maximum age of a snapshot that is sent to other daemons. The
+	// age counts against primary leases.
 	maxSharedAge timekeeper.Millis = 7000
+	// maxCatalogAge and maxServersAge are the maximum ages of the catalog and of the
+	// registrations of another daemon's cache; above them a daemon reads the store
+	// itself. New catalogs must be in force after 3 s and servers may leave 7 s after
+	// their announcement. The domain reader's own readings are up to catalogWait and
+	// Intervals.FeedWait old.
+	maxCatalogAge timekeeper.Millis = 2400
+	maxServersAge timekeeper.Millis = 4500
+	// catalogWait is the maximum time of a long poll for a new catalog at the store,
+	// and catalogFollowWait that at the domain reader, which may be frozen.
+	catalogWait       timekeeper.Millis = 2000
+	catalogFollowWait timekeeper.Millis = 1000
 )
 
+// maxAge returns how old a snapshot of a table in another daemon's cache may be.
+func maxAge(table Table) timekeeper.Millis {
+	switch table {
+	case TableCatalog:
+		return maxCatalogAge
+	case TableServers:
+		return maxServersAge
+	case TableCoordination, TableHeartbeats:
+	}
+	return maxSharedAge
+}
+
 // Run runs the daemon until ctx ends and returns once all its goroutines have ended.
 // It serves other daemons' requests on the peers listener.
 func (p *Proxy) Run(ctx context.Context, peers net.Listener) {
@@ -139,7 +163,7 @@
 	requestedAt := p.clock.Now()
 	if reader := p.domainReader(); reader != "" {
 		rows, digest := p.cache.snapshot(table)
-		shared, err := p.fetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest})
+		shared, err := p.fetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest, MaxAge: maxAge(table)})
 		readAt := shared.ReadAt(requestedAt)
 		switch {
 		case err == nil && shared.Unchanged:
@@ -242,6 +266,9 @@
 	// pause is the time between an answer and the next request. Changes in between
 	// arrive together.
 	pause timekeeper.Millis
+	// feedWait and followWait are the maximum times of a long poll at the store and at
+	// the domain reader.
+	feedWait, followWait timekeeper.Millis
 	// onSnapshot is called with all rows.
 	onSnapshot func(r reading)
 	// onChange is called with rows that changed.
@@ -263,7 +290,9 @@
 		}
 		generation = 0
 		if version == 0 {
-			snapshot, err := p.scan(ctx, watch.table, watch.name)
+			call, cancel := p.callContext(ctx)
+			defer cancel()
+			snapshot, err := p.scanStore(call, watch.table, watch.name)
 			if err != nil {
 				return err
 			}
@@ -271,24 +300,40 @@
 			version = snapshot.Version
 			return nil
 		}
-		call, cancel := context.WithTimeout(ctx, (p.settings.Intervals.FeedWait + feedTimeoutMargin).Duration())
-		defer cancel()
-		requestedAt := p.clock.Now()
-		rows, err := p.deps.Feed(call, watch.table, version, p.settings.Intervals.FeedWait)
-		p.recordDependency(watch.name+" feed", err)
+		rows, err := p.feed(ctx, watch, version)
 		if err != nil {
 			version = 0
 			return err
 		}
-		p.cache.apply(watch.table, rows, requestedAt)
-		if len(rows.Rows) > 0 {
-			watch.onChange(reading{Rows: rows, readAt: requestedAt, source: sourceStore})
+		p.cache.apply(watch.table, rows.Rows, rows.readAt)
+		if len(rows.Rows.Rows) > 0 {
+			watch.onChange(rows)
 		}
 		version = max(version, rows.Version)
 		return nil
 	})
 }
 
+// feed requests the changes of a table after a version from the store. The long poll is
+// shorter if the last answer brought changes, so that the snapshot in the cache is never
+// much older than feedWait.
+func (p *Proxy) feed(ctx context.Context, watch tableWatch, version int64) (reading, error) {
+	requestedAt := p.clock.Now()
+	wait := watch.feedWait
+	if watch.table != TableCoordination { // the age of its snapshot is that of the last full read
+		wait = max(wait-(requestedAt-p.cache.readAt(watch.table)), p.settings.Intervals.MinRetry)
+	}
+	call, cancel := context.WithTimeout(ctx, (wait + feedTimeoutMargin).Duration())
+	defer cancel()
+	rows, err := p.deps.Feed(call, watch.table, version, wait)
+	p.recordDependency(watch.name+" feed", err)
+	readAt := requestedAt
+	if len(rows.Rows) == 0 && p.clock.Now()-requestedAt >= wait {
+		readAt += wait // the store waited for so long and found no change
+	}
+	return reading{Rows: rows, readAt: readAt, source: sourceStore}, err
+}
+
 // watchCached waits until the domain reader has other rows than those of the given
 // generation, and returns the generation of its rows. It reports false if there is no
 // domain reader or a request fails.
@@ -299,11 +344,11 @@
 	}
 	requestedAt := p.clock.Now()
 	_, digest := p.cache.snapshot(watch.table)
-	shared, err := p.fetchCached(ctx, reader, detourer.RowsRequest{Table: int(watch.table), KnownGeneration: generation, KnownDigest: digest, MaxWait: p.settings.Intervals.FeedWait})
-	if err != nil {
+	shared, err := p.fetchCached(ctx, reader, detourer.RowsRequest{Table: int(watch.table), KnownGeneration: generation, KnownDigest: digest, MaxWait: watch.followWait, MaxAge: maxAge(watch.table)})
+	readAt := shared.ReadAt(requestedAt)
+	if err != nil || p.clock.Now()-readAt > maxAge(watch.table) {
 		return 0, false
 	}
-	readAt := shared.ReadAt(requestedAt)
 	if shared.Unchanged {
 		p.cache.confirm(watch.table, readAt)
 		watch.onUnchanged(readAt)
@@ -326,7 +371,7 @@
 // watchCatalog follows TableCatalog.
 func (p *Proxy) watchCatalog(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
-		table: TableCatalog, name: "store: catalog",
+		table: TableCatalog, name: "store: catalog", feedWait: catalogWait, followWait: catalogFollowWait,
 		onSnapshot:  p.setCatalog,
 		onChange:    p.setCatalog,
 		onUnchanged: func(timekeeper.Millis) {},
@@ -336,7 +381,8 @@
 // watchCoordination follows TableCoordination.
 func (p *Proxy) watchCoordination(ctx context.Context) {
 	p.watchTable(ctx, tableWatch{
-		table: TableCoordination, name: "store: rows", onSnapshot: p.applyRows,
+		table: TableCoordination, name: "store: rows", feedWait: p.settings.Intervals.FeedWait, followWait: p.settings.Intervals.FeedWait,
+		onSnapshot: p.applyRows,
 		onChange: func(r reading) {
 			p.withElector(func(now timekeeper.Millis) []elector.Command {
 				return p.elector.ApplyChanges(now, r.Rows.Rows, r.Version)
