Read the store's era and log when a new one begins

Change: Revision is the store's era and version in one type. Order is still judged by version alone: no decision changes.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -39,10 +39,10 @@
 // a relay.
 const maxConnectionAge = 15 * time.Second
 
-// Rows holds the rows of a table as of one version of the store.
+// Rows holds the rows of a table as of one revision of the store.
 type Rows struct {
-	Rows    []elector.Row `json:"rows"`
-	Version int64         `json:"version"`
+	Rows []elector.Row `json:"rows"`
+	elector.Revision
 }
 
 // TransactionRequest asks another daemon to run a transaction on a table.
@@ -72,8 +72,8 @@
 
 // CachedRows is a snapshot of a table from another daemon's cache.
 type CachedRows struct {
-	Rows    []elector.Row `json:"rows,omitempty"`
-	Version int64         `json:"version"`
+	Rows []elector.Row `json:"rows,omitempty"`
+	elector.Revision
 	// Generation identifies the rows in the cache of the daemon that answered. It has
 	// no meaning for other daemons.
 	Generation int64 `json:"number"`
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -45,7 +45,7 @@
 			if down {
 				return Rows{}, errStoreDown
 			}
-			return Rows{Rows: []elector.Row{{Key: "k", Value: []byte("v"), Version: 4}}, Version: 9}, nil
+			return Rows{Rows: []elector.Row{{Key: "k", Value: []byte("v"), Version: 4}}, Revision: elector.Revision{Version: 9}}, nil
 		},
 		Transact: func(_ context.Context, tx TransactionRequest) elector.Result {
 			p.requests.Add(1)
@@ -58,7 +58,7 @@
 			return elector.Applied
 		},
 		FetchCached: func(_ context.Context, request RowsRequest) (CachedRows, error) {
-			return CachedRows{Version: 9, Generation: 7, Age: 40, Unchanged: request.KnownGeneration == 7}, nil
+			return CachedRows{Revision: elector.Revision{Version: 9}, Generation: 7, Age: 40, Unchanged: request.KnownGeneration == 7}, nil
 		},
 		Connect: func(_ context.Context, server cataloger.Server) (ServerConn, multiplexer.Answer, error) {
 			if down {
--- a/elector/change.go
+++ b/elector/change.go
@@ -164,7 +164,7 @@
 	e.write(Transaction{
 		Expect: []Row{{Key: coordinatorKey, Version: e.rows[coordinatorKey].Version}},
 		Set:    []Row{encode(coordinatorKey, next)},
-	}, func(_ timekeeper.Millis, result Result, _ int64) {
+	}, func(_ timekeeper.Millis, result Result, _ Revision) {
 		e.acquiring = false
 		e.log("duty", observer.F("result", result.String()))
 		e.commands = append(e.commands, ReloadRows{})
@@ -253,10 +253,10 @@
 	e.write(Transaction{
 		Expect: []Row{{Key: recordPrefix + g.name, Version: max(g.recordVersion, g.ownWriteVersion)}, {Key: coordinatorKey, Version: e.rows[coordinatorKey].Version}},
 		Set:    []Row{encode(recordPrefix+g.name, next)},
-	}, func(now timekeeper.Millis, result Result, version int64) {
+	}, func(now timekeeper.Millis, result Result, revision Revision) {
 		g.ownWriteVersion = 0
 		if result == Applied {
-			g.ownWriteVersion = version
+			g.ownWriteVersion = revision.Version
 		}
 		if result == Applied && next.ChangeReason == "" {
 			g.lastFinishedChange = next.ChangeNumber
@@ -315,7 +315,7 @@
 			tx.Delete = append(tx.Delete, hostPrefix+name)
 		}
 	}
-	e.write(tx, func(_ timekeeper.Millis, result Result, _ int64) {
+	e.write(tx, func(_ timekeeper.Millis, result Result, _ Revision) {
 		e.log("expired registrations deleted", observer.F("result", result.String()))
 	})
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -114,10 +114,10 @@
 	deps     Deps
 	commands []Command
 
-	// rows holds the known rows by key, and version is the store's version up
+	// rows holds the known rows by key, and revision is the store's revision up
 	// to which they are known.
-	rows    map[string]Row
-	version int64
+	rows     map[string]Row
+	revision Revision
 	// readAt is when the last full read of the rows was requested, or the last
 	// request that found no row changed. The primary leases start at this time.
 	// haveRows is set once a full read has finished.
@@ -133,7 +133,7 @@
 	serversByID  map[string]cataloger.Server
 
 	lastCommandID     uint64
-	pendingWrites     map[uint64]func(now timekeeper.Millis, result Result, version int64)
+	pendingWrites     map[uint64]func(now timekeeper.Millis, result Result, revision Revision)
 	pendingInspects   map[uint64]func(now timekeeper.Millis, status ServerStatus, err error)
 	pendingPromotions map[uint64]func(now timekeeper.Millis, err error)
 
@@ -157,7 +157,7 @@
 		settings: settings, deps: deps,
 		rows: map[string]Row{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
 		revocations: map[string]observedRevocation{}, heartbeats: map[string]observedHeartbeat{}, groups: map[string]*group{}, serversByID: map[string]cataloger.Server{},
-		pendingWrites:     map[uint64]func(timekeeper.Millis, Result, int64){},
+		pendingWrites:     map[uint64]func(timekeeper.Millis, Result, Revision){},
 		pendingInspects:   map[uint64]func(timekeeper.Millis, ServerStatus, error){},
 		pendingPromotions: map[uint64]func(timekeeper.Millis, error){},
 	}
@@ -175,7 +175,7 @@
 }
 
 // write queues a Write. done runs when WriteFinished reports its result.
-func (e *Elector) write(tx Transaction, done func(now timekeeper.Millis, result Result, version int64)) {
+func (e *Elector) write(tx Transaction, done func(now timekeeper.Millis, result Result, revision Revision)) {
 	e.lastCommandID++
 	e.pendingWrites[e.lastCommandID] = done
 	e.commands = append(e.commands, Write{ID: e.lastCommandID, Tx: tx})
@@ -188,13 +188,13 @@
 	e.commands = append(e.commands, Inspect{ID: e.lastCommandID, Server: server, Request: request})
 }
 
-// WriteFinished completes the Write with the given ID. version is the store's
-// version after the Write, or 0 if unknown.
-func (e *Elector) WriteFinished(now timekeeper.Millis, id uint64, result Result, version int64) []Command {
+// WriteFinished completes the Write with the given ID. revision is the
+// store's revision after the Write, or the zero revision if unknown.
+func (e *Elector) WriteFinished(now timekeeper.Millis, id uint64, result Result, revision Revision) []Command {
 	done := e.pendingWrites[id]
 	delete(e.pendingWrites, id)
 	if done != nil {
-		done(now, result, version)
+		done(now, result, revision)
 	}
 	return e.takeCommands()
 }
@@ -221,12 +221,12 @@
 	return e.takeCommands()
 }
 
-// SetRows replaces all rows with a full read at version and renews the primary
+// SetRows replaces all rows with a full read at a revision and renews the primary
 // leases from requestedAt, the time when the read was requested. A read older
-// than the known version is ignored.
-func (e *Elector) SetRows(now, requestedAt timekeeper.Millis, rows []Row, version int64) []Command {
-	if version < e.version {
-		e.log("older rows ignored", observer.F("version", version), observer.F("have", e.version))
+// than the known revision is ignored.
+func (e *Elector) SetRows(now, requestedAt timekeeper.Millis, rows []Row, revision Revision) []Command {
+	if revision.Version < e.revision.Version {
+		e.log("older rows ignored", observer.F("version", revision.Version), observer.F("era", revision.Era), observer.F("have", e.revision.Version))
 		return nil
 	}
 	byKey := make(map[string]Row, len(rows))
@@ -234,7 +234,7 @@
 		byKey[row.Key] = row
 	}
 	e.rows = byKey
-	e.version = version
+	e.revision = revision
 	e.readAt = max(e.readAt, requestedAt)
 	e.haveRows = true
 	e.decodeRows(now)
@@ -266,11 +266,11 @@
 	return ""
 }
 
-// ApplyChanges applies the rows that changed up to version. Rows that are not
+// ApplyChanges applies the rows that changed up to a revision. Rows that are not
 // newer than the known ones are skipped. Leases are not renewed.
-func (e *Elector) ApplyChanges(now timekeeper.Millis, rows []Row, version int64) []Command {
+func (e *Elector) ApplyChanges(now timekeeper.Millis, rows []Row, revision Revision) []Command {
 	for _, row := range rows {
-		if have := e.rows[row.Key]; row.Version <= have.Version || row.Version <= e.version && have.Version == 0 {
+		if have := e.rows[row.Key]; row.Version <= have.Version || row.Version <= e.revision.Version && have.Version == 0 {
 			continue
 		}
 		if row.Deleted {
@@ -279,7 +279,7 @@
 		}
 		e.rows[row.Key] = row
 	}
-	e.version = max(e.version, version)
+	e.revision.Version = max(e.revision.Version, revision.Version)
 	e.decodeRows(now)
 	return e.takeCommands()
 }
@@ -314,7 +314,7 @@
 		if !withRecord[name] {
 			g.record, g.recordVersion = PrimaryRecord{}, 0
 		}
-		if e.version >= g.ownWriteVersion {
+		if e.revision.Version >= g.ownWriteVersion {
 			g.ownWriteVersion = 0
 		}
 	}
@@ -485,7 +485,7 @@
 	e.registering = true
 	e.registerDue = now + retryInterval
 	row := encode(hostPrefix+e.settings.Self.Name, e.settings.Self)
-	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result, _ int64) {
+	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result, _ Revision) {
 		e.registering = false
 		e.log("registration", observer.F("result", result.String()))
 		e.commands = append(e.commands, ReloadRows{})
@@ -496,7 +496,7 @@
 // use any primary from now on.
 func (e *Elector) Deregister() []Command {
 	e.leaving = true
-	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result, int64) {})
+	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result, Revision) {})
 	return e.takeCommands()
 }
 
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -19,7 +19,7 @@
 	}})
 	e.SetServers(now, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
 	rows = append(rows, elector.Row{Key: "host/d0", Version: 2, Value: []byte(`{"name":"d0","domain":"a","incarnation":7,"address":"10.0.0.1:1"}`)})
-	e.SetRows(now, now, rows, 10)
+	e.SetRows(now, now, rows, elector.Revision{Version: 10})
 	return e
 }
 
@@ -59,7 +59,7 @@
 	for name, value := range tests {
 		t.Run(name, func(t *testing.T) {
 			e := newElector(1000)
-			e.SetRows(2000, 2000, []elector.Row{{Key: "host/d0", Version: 11, Value: []byte(value)}}, 11)
+			e.SetRows(2000, 2000, []elector.Row{{Key: "host/d0", Version: 11, Value: []byte(value)}}, elector.Revision{Version: 11})
 			if got := e.PrimaryLeases(2000)["g"]; got.ValidUntil != 0 {
 				t.Errorf("lease valid until %d, want none", got.ValidUntil)
 			}
@@ -72,7 +72,7 @@
 // change.
 func TestReleaseEndsLease(t *testing.T) {
 	e := newElector(1000)
-	commands := e.ApplyChanges(2000, []elector.Row{{Key: "reign/g", Version: 12, Value: []byte(`{"term":1,"primary":"s0","number":1,"change":"handover"}`)}}, 12)
+	commands := e.ApplyChanges(2000, []elector.Row{{Key: "reign/g", Version: 12, Value: []byte(`{"term":1,"primary":"s0","number":1,"change":"handover"}`)}}, elector.Revision{Version: 12})
 	if got := e.PrimaryLeases(2000)["g"]; !got.Paused || got.ValidUntil != 0 {
 		t.Errorf("got %+v, want no lease after the release", got)
 	}
@@ -85,7 +85,7 @@
 	if !acked {
 		t.Errorf("got %+v, want an Ack among the commands", commands)
 	}
-	e.SetRows(2100, 2050, nil, 11)
+	e.SetRows(2100, 2050, nil, elector.Revision{Version: 11})
 	if got := e.PrimaryLeases(2100)["g"]; !got.Paused {
 		t.Error("an older read ended the change, want it ignored")
 	}
--- a/elector/group.go
+++ b/elector/group.go
@@ -123,7 +123,7 @@
 	g.ackPending = true
 	g.ackDue = now + retryInterval
 	ack := Ack{Incarnation: e.settings.Self.Incarnation, ChangeNumber: number, Rejects: g.rejectedChange == number, HighestPosition: health.HighestPosition}
-	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result, _ int64) {
+	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result, _ Revision) {
 		g.ackPending = false
 		if result == Applied {
 			g.ackedChange = number
--- a/elector/revoke.go
+++ b/elector/revoke.go
@@ -34,7 +34,7 @@
 			if seen, found := e.heartbeats[name]; found && e.silence(now, seen) > e.settings.HeartbeatTimeout {
 				host.Revoked = true
 				e.log("registration marked: no sign of life", observer.F("host", name), observer.F("silent", int64(e.silence(now, seen))))
-				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result, int64) {})
+				e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Set: []Row{encode(row.Key, host)}}, func(timekeeper.Millis, Result, Revision) {})
 			}
 			continue
 		}
@@ -46,7 +46,7 @@
 		if now-observed.seenAt > e.settings.LeaseDuration+e.settings.ClockSkew {
 			e.log("registration deleted", observer.F("host", name))
 			delete(e.revocations, name)
-			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result, int64) {})
+			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result, Revision) {})
 		}
 	}
 }
--- a/elector/row.go
+++ b/elector/row.go
@@ -7,6 +7,7 @@
 package elector
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/heatherhall/heatherhall/sequencer"
@@ -23,6 +24,20 @@
 	Deleted bool
 }
 
+// Revision is a state of the store. The store numbers its changes. When it is restored
+// from an older copy, a new era begins, in which it gives out the numbers after the
+// copy's again; so versions can be compared within an era only.
+type Revision struct {
+	// Era counts the restorations; 0 stands for a store that does not say.
+	Era     int64 `json:"era,omitempty"`
+	Version int64 `json:"version"`
+}
+
+// Before reports whether r is an earlier state than other.
+func (r Revision) Before(other Revision) bool {
+	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Version, other.Version)) < 0
+}
+
 // Transaction writes and deletes rows if all expected rows have their versions.
 type Transaction struct {
 	// Expect lists rows by key with the version that each must have.
--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -30,8 +30,8 @@
 
 // cachedTable is the last snapshot of one table.
 type cachedTable struct {
-	rows    map[string]elector.Row
-	version int64
+	rows     map[string]elector.Row
+	revision elector.Revision
 	// generation rises with each change of the rows.
 	generation int64
 	// digest is a hash of the rows' keys and versions.
@@ -71,7 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.getOrCreate(table)
-	if rows.Version < t.version {
+	if rows.Version < t.revision.Version {
 		return
 	}
 	byKey := make(map[string]elector.Row, len(rows.Rows))
@@ -79,7 +79,7 @@
 		byKey[row.Key] = row
 	}
 	same := maps.EqualFunc(t.rows, byKey, func(a, b elector.Row) bool { return a.Version == b.Version && bytes.Equal(a.Value, b.Value) })
-	t.version, t.readAt = rows.Version, max(t.readAt, readAt)
+	t.revision, t.readAt = rows.Revision, max(t.readAt, readAt)
 	if t.rows == nil || !same {
 		t.replace(byKey)
 	}
@@ -111,7 +111,7 @@
 			delete(next, row.Key)
 		}
 	}
-	t.version = max(t.version, rows.Version)
+	t.revision.Version = max(t.revision.Version, rows.Version)
 	t.replace(next)
 }
 
@@ -152,7 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.getOrCreate(table)
-	rows := Rows{Version: t.version}
+	rows := Rows{Revision: t.revision}
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		rows.Rows = append(rows.Rows, t.rows[key])
 	}
@@ -208,7 +208,7 @@
 	if t.rows == nil || age > limit {
 		return detourer.CachedRows{}, nil, &Error{Op: "share", Kind: KindStale, Text: "the last reading is too old"}
 	}
-	shared := detourer.CachedRows{Version: t.version, Generation: t.generation, Age: age, Unchanged: t.knownTo(request)}
+	shared := detourer.CachedRows{Revision: t.revision, Generation: t.generation, Age: age, Unchanged: t.knownTo(request)}
 	shared.TooLarge = !shared.Unchanged && t.size > maxSharedSize
 	if !shared.Unchanged && !shared.TooLarge {
 		for _, key := range slices.Sorted(maps.Keys(t.rows)) {
--- a/proxier/cache_test.go
+++ b/proxier/cache_test.go
@@ -10,7 +10,7 @@
 )
 
 func rowsOf(version int64, keys ...string) Rows {
-	out := Rows{Version: version}
+	out := Rows{Revision: elector.Revision{Version: version}}
 	for _, key := range keys {
 		out.Rows = append(out.Rows, elector.Row{Key: key, Version: version})
 	}
@@ -35,7 +35,7 @@
 	if again, err := c.fetch(ctx, request); err != nil || !again.Unchanged || again.Rows != nil {
 		t.Errorf("got %+v, %v, want an unchanged answer without rows", again, err)
 	}
-	c.apply(TableCoordination, Rows{Version: 8, Rows: []elector.Row{{Key: "a", Version: 8, Deleted: true}, {Key: "b", Version: 4}}}, 1300)
+	c.apply(TableCoordination, Rows{Revision: elector.Revision{Version: 8}, Rows: []elector.Row{{Key: "a", Version: 8, Deleted: true}, {Key: "b", Version: 4}}}, 1300)
 	changed, err := c.fetch(ctx, request)
 	if err != nil || changed.Unchanged || len(changed.Rows) != 1 || changed.Rows[0].Key != "b" || changed.Rows[0].Version != 5 {
 		t.Errorf("got %+v, %v, want row b of version 5 alone", changed, err)
@@ -96,7 +96,7 @@
 // request a large catalog. Rows that the requester has are not sent again, and large
 // tables are not sent at all.
 func TestCacheLimitsTransfers(t *testing.T) {
-	small, large := rowsOf(5, "a", "b"), Rows{Version: 6, Rows: []elector.Row{{Key: "a", Version: 6, Value: make([]byte, maxSharedSize)}}}
+	small, large := rowsOf(5, "a", "b"), Rows{Revision: elector.Revision{Version: 6}, Rows: []elector.Row{{Key: "a", Version: 6, Value: make([]byte, maxSharedSize)}}}
 	tests := map[string]struct {
 		known, cached       Rows
 		unchanged, tooLarge bool
--- a/proxier/deps.go
+++ b/proxier/deps.go
@@ -26,11 +26,11 @@
 	TableHeartbeats
 )
 
-// Rows holds rows of a table as of one version of the store: all rows, or those that
+// Rows holds rows of a table as of one revision of the store: all rows, or those that
 // changed.
 type Rows struct {
-	Rows    []elector.Row
-	Version int64
+	Rows []elector.Row
+	elector.Revision
 }
 
 // Deps holds the functions that a daemon needs from outside. They must be safe for
@@ -45,8 +45,8 @@
 	// The daemon reads the whole table again after any error.
 	Feed func(ctx context.Context, table Table, after int64, wait timekeeper.Millis) (Rows, error)
 	// Transact changes rows of a table if the conditions in tx hold. It also returns
-	// the version of the store after the transaction, or 0 if unknown.
-	Transact func(ctx context.Context, table Table, tx elector.Transaction) (result elector.Result, version int64)
+	// the revision of the store after the transaction, or the zero revision if unknown.
+	Transact func(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, elector.Revision)
 	// DecodeCatalog decodes a row of TableCatalog.
 	DecodeCatalog func(row elector.Row) (cataloger.Catalog, error)
 	// DecodeServer decodes a row of TableServers.
--- a/proxier/follower_test.go
+++ b/proxier/follower_test.go
@@ -106,7 +106,7 @@
 	p.memoryStore.mu.Lock()
 	defer p.memoryStore.mu.Unlock()
 	rows := slices.DeleteFunc(p.changesLocked(table, 0), func(row elector.Row) bool { return row.Deleted })
-	return Rows{Rows: rows, Version: p.version}, nil
+	return Rows{Rows: rows, Revision: elector.Revision{Version: p.version}}, nil
 }
 
 func (p *storePath) feed(ctx context.Context, table Table, after int64, wait timekeeper.Millis) (Rows, error) {
@@ -116,7 +116,7 @@
 			return Rows{}, err
 		}
 		p.memoryStore.mu.Lock()
-		rows, changed := Rows{Rows: p.changesLocked(table, after), Version: p.version}, p.changed
+		rows, changed := Rows{Rows: p.changesLocked(table, after), Revision: elector.Revision{Version: p.version}}, p.changed
 		p.memoryStore.mu.Unlock()
 		if len(rows.Rows) > 0 {
 			return rows, nil
@@ -130,19 +130,19 @@
 			waiting = false
 		}
 	}
-	return Rows{Version: after}, p.connected(ctx)
+	return Rows{Revision: elector.Revision{Version: after}}, p.connected(ctx)
 }
 
-func (p *storePath) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, int64) {
+func (p *storePath) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, elector.Revision) {
 	if p.connected(ctx) != nil {
-		return elector.Indeterminate, 0
+		return elector.Indeterminate, elector.Revision{}
 	}
 	p.memoryStore.mu.Lock()
 	defer p.memoryStore.mu.Unlock()
 	for _, row := range tx.Expect {
 		have := p.rows[table][row.Key]
 		if have.Deleted && row.Version != 0 || !have.Deleted && have.Version != row.Version {
-			return elector.Conflict, 0
+			return elector.Conflict, elector.Revision{}
 		}
 	}
 	for _, row := range tx.Set {
@@ -151,7 +151,7 @@
 	for _, key := range tx.Delete {
 		p.putLocked(table, elector.Row{Key: key, Deleted: true})
 	}
-	return elector.Applied, p.version
+	return elector.Applied, elector.Revision{Version: p.version}
 }
 
 // decodeCatalog decodes a row of memoryStore.setCatalog.
--- a/proxier/harness_test.go
+++ b/proxier/harness_test.go
@@ -119,7 +119,7 @@
 	random *rand.Rand
 	*timekeeper.TimerQueue
 	rows              map[string]elector.Row
-	version           int64
+	revision          elector.Revision
 	storeDown         bool
 	storeDropsAnswers bool
 	// readLag is how far the copy of the store that answers reads lags behind. The
@@ -150,9 +150,9 @@
 
 // snapshot is the content of the store at a past time.
 type snapshot struct {
-	at      timekeeper.Millis
-	rows    map[string]elector.Row
-	version int64
+	at       timekeeper.Millis
+	rows     map[string]elector.Row
+	revision elector.Revision
 }
 
 // snapshotRetention is how long snapshots are kept. It exceeds any readLag.
@@ -168,7 +168,7 @@
 func newSimulation(seed int64, daemons, connectionLimit int, leaseDuration timekeeper.Millis) *simulation {
 	sim := &simulation{
 		connectionLimit: connectionLimit, forwarding: forwarding{links: map[uint64]*fakeLink{}},
-		leaseDuration: leaseDuration, random: rand.New(rand.NewSource(seed)), TimerQueue: timekeeper.NewTimerQueue(1000), rows: map[string]elector.Row{},
+		leaseDuration: leaseDuration, random: rand.New(rand.NewSource(seed)), TimerQueue: timekeeper.NewTimerQueue(1000), rows: map[string]elector.Row{}, revision: elector.Revision{Era: 1},
 		ackedWrites: map[string]ackedWrite{}, reportedNotRun: map[string]bool{}, logIndex: map[string]int{},
 	}
 	for i := range 3 {
@@ -189,8 +189,8 @@
 
 // keepSnapshots saves a snapshot of the store whenever its version has changed.
 func (sim *simulation) keepSnapshots() {
-	if n := len(sim.snapshots); n == 0 || sim.snapshots[n-1].version != sim.version {
-		sim.snapshots = append(sim.snapshots, snapshot{at: sim.Now(), rows: maps.Clone(sim.rows), version: sim.version})
+	if n := len(sim.snapshots); n == 0 || sim.snapshots[n-1].revision != sim.revision {
+		sim.snapshots = append(sim.snapshots, snapshot{at: sim.Now(), rows: maps.Clone(sim.rows), revision: sim.revision})
 	}
 	for len(sim.snapshots) > 1 && sim.snapshots[1].at < sim.Now()-snapshotRetention {
 		sim.snapshots = sim.snapshots[1:]
@@ -198,16 +198,16 @@
 	sim.After(20, sim.keepSnapshots)
 }
 
-// readStore returns the rows and version of the store, readLag in the past.
-func (sim *simulation) readStore() (map[string]elector.Row, int64) {
+// readStore returns the rows and revision of the store, readLag in the past.
+func (sim *simulation) readStore() (map[string]elector.Row, elector.Revision) {
 	if sim.readLag == 0 {
-		return sim.rows, sim.version
+		return sim.rows, sim.revision
 	}
 	i, _ := slices.BinarySearchFunc(sim.snapshots, sim.Now()-sim.readLag, func(s snapshot, at timekeeper.Millis) int { return cmp.Compare(s.at, at+1) })
 	if i == 0 {
-		return map[string]elector.Row{}, 0
+		return map[string]elector.Row{}, elector.Revision{Era: sim.revision.Era}
 	}
-	return sim.snapshots[i-1].rows, sim.snapshots[i-1].version
+	return sim.snapshots[i-1].rows, sim.snapshots[i-1].revision
 }
 
 // logEvent adds a line to the log that is printed with a violation.
@@ -356,11 +356,11 @@
 		if !sim.reachesStore(d) {
 			return
 		}
-		all, version := sim.readStore()
+		all, revision := sim.readStore()
 		rows := tableRows(all, "own/")
 		sim.deliver(d, func() {
-			freshAsOf := d.watermarks.freshAsOf(requestedAt, version)
-			sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.SetRows(sim.Now(), freshAsOf, rows, version)))
+			freshAsOf := d.watermarks.freshAsOf(requestedAt, revision)
+			sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.SetRows(sim.Now(), freshAsOf, rows, revision)))
 		})
 	})
 }
@@ -370,9 +370,9 @@
 	if !sim.reachesStore(d) || sim.readLag > 0 {
 		return
 	}
-	rows, version := tableRows(sim.rows, "own/"), sim.version
+	rows, revision := tableRows(sim.rows, "own/"), sim.revision
 	sim.deliver(d, func() {
-		sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.ApplyChanges(sim.Now(), rows, version)))
+		sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.ApplyChanges(sim.Now(), rows, revision)))
 	})
 }
 
@@ -383,9 +383,9 @@
 		return
 	}
 	if writes {
-		sim.version++
-		sim.rows["beat/"+d.name] = elector.Row{Version: sim.version}
-		d.watermarks.add(sim.Now(), sim.version)
+		sim.revision.Version++
+		sim.rows["beat/"+d.name] = elector.Row{Version: sim.revision.Version}
+		d.watermarks.add(sim.Now(), sim.revision)
 	}
 	all, _ := sim.readStore()
 	heartbeats := map[string]elector.Heartbeat{}
@@ -403,9 +403,9 @@
 			return elector.Conflict
 		}
 	}
-	sim.version++
+	sim.revision.Version++
 	for _, row := range tx.Set {
-		row.Version = sim.version
+		row.Version = sim.revision.Version
 		sim.rows["own/"+row.Key] = row
 	}
 	for _, key := range tx.Delete {
@@ -418,13 +418,13 @@
 func (sim *simulation) write(d *fakeDaemon, c elector.Write) {
 	incarnation, sentAt := d.incarnation, sim.Now()
 	done := func(result elector.Result) {
-		version := sim.version
+		revision := sim.revision
 		sim.deliver(d, func() {
 			if d.incarnation == incarnation {
 				if result == elector.Applied {
-					d.watermarks.add(sentAt, version)
+					d.watermarks.add(sentAt, revision)
 				}
-				sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.WriteFinished(sim.Now(), c.ID, result, version)))
+				sim.commandExecutor(d)(d.logic.applyElector(sim.Now(), d.logic.elector.WriteFinished(sim.Now(), c.ID, result, revision)))
 			}
 		})
 	}
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -66,6 +66,7 @@
 	p.metrics.registerGauge("heatherhall_catalog_age_seconds", "Age of the last reading of the catalog.", locked(func() float64 {
 		return float64(p.clock.Now()-p.cache.readAt(TableCatalog)) / 1000
 	}))
+	p.metrics.registerGauge("heatherhall_store_era", "How often the store was restored from a copy, as it counts.", locked(func() float64 { return float64(p.storeRevision.Era) }))
 	p.metrics.registerGauge("heatherhall_hosts", "Daemons that share the servers' connections.", locked(func() float64 { return float64(len(p.elector.LiveHosts(p.clock.Now()))) }))
 	p.metrics.registerGauge("heatherhall_groups_carried", "Database groups whose statements this daemon runs for its failure domain.", locked(func() float64 { return float64(p.mux.CarrierLoad().Groups) }))
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -87,6 +87,8 @@
 	// storeFailedAt is when a call to the store on the direct path, without a peer,
 	// last failed; 0 if the last call succeeded.
 	storeFailedAt timekeeper.Millis
+	// storeRevision is the newest revision of the store that this daemon has seen.
+	storeRevision elector.Revision
 	peerClient    *detourer.PeerClient
 	links         *detourer.Links
 	// forwardWaits receive the answers to other daemons' statements.
@@ -191,10 +193,10 @@
 		case elector.Write:
 			p.spawn(func(ctx context.Context) {
 				call, cancel := p.callContext(ctx)
-				result, version := p.transact(call, TableCoordination, c.Tx)
+				result, revision := p.transact(call, TableCoordination, c.Tx)
 				cancel()
 				p.withElector(func(now timekeeper.Millis) []elector.Command {
-					return p.elector.WriteFinished(now, c.ID, result, version)
+					return p.elector.WriteFinished(now, c.ID, result, revision)
 				})
 			})
 		case elector.Inspect:
--- a/proxier/registrations.go
+++ b/proxier/registrations.go
@@ -13,9 +13,9 @@
 // registrationTable holds the last known registrations of the backend servers. It is
 // safe for concurrent use.
 type registrationTable struct {
-	mu      sync.Mutex
-	rows    map[string]elector.Row
-	version int64
+	mu       sync.Mutex
+	rows     map[string]elector.Row
+	revision elector.Revision
 	// skipped holds the versions of rows that can't be decoded, so that each version
 	// is logged only once.
 	skipped map[string]int64
@@ -25,10 +25,10 @@
 func (t *registrationTable) replace(rows Rows) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if rows.Version < t.version {
+	if rows.Version < t.revision.Version {
 		return
 	}
-	t.rows, t.version = make(map[string]elector.Row, len(rows.Rows)), rows.Version
+	t.rows, t.revision = make(map[string]elector.Row, len(rows.Rows)), rows.Revision
 	for _, row := range rows.Rows {
 		t.rows[row.Key] = row
 	}
@@ -51,7 +51,7 @@
 		}
 		t.rows[row.Key] = row
 	}
-	t.version = max(t.version, rows.Version)
+	t.revision.Version = max(t.revision.Version, rows.Version)
 }
 
 // servers returns the decoded registrations. It skips rows that can't be decoded,
--- a/proxier/registrations_test.go
+++ b/proxier/registrations_test.go
@@ -27,33 +27,43 @@
 	}{
 		"no rows": {},
 		"changes before the first full read": {
-			steps: []func(r *registrationTable){func(r *registrationTable) { r.apply(Rows{Version: 3, Rows: []elector.Row{row("a", 3, "")}}) }},
-			want:  []string{"a"},
+			steps: []func(r *registrationTable){func(r *registrationTable) {
+				r.apply(Rows{Revision: elector.Revision{Version: 3}, Rows: []elector.Row{row("a", 3, "")}})
+			}},
+			want: []string{"a"},
 		},
 		"one added and one deleted": {
 			steps: []func(r *registrationTable){
 				func(r *registrationTable) {
-					r.replace(Rows{Version: 3, Rows: []elector.Row{row("a", 1, ""), row("b", 3, "")}})
+					r.replace(Rows{Revision: elector.Revision{Version: 3}, Rows: []elector.Row{row("a", 1, ""), row("b", 3, "")}})
 				},
 				func(r *registrationTable) {
-					r.apply(Rows{Version: 6, Rows: []elector.Row{deleted("a", 5), row("c", 6, "")}})
+					r.apply(Rows{Revision: elector.Revision{Version: 6}, Rows: []elector.Row{deleted("a", 5), row("c", 6, "")}})
 				},
 			},
 			want: []string{"b", "c"},
 		},
 		"an older full read after a change": {
 			steps: []func(r *registrationTable){
-				func(r *registrationTable) { r.replace(Rows{Version: 3, Rows: []elector.Row{row("a", 1, "")}}) },
-				func(r *registrationTable) { r.apply(Rows{Version: 6, Rows: []elector.Row{deleted("a", 5)}}) },
-				func(r *registrationTable) { r.replace(Rows{Version: 4, Rows: []elector.Row{row("a", 1, "")}}) },
+				func(r *registrationTable) {
+					r.replace(Rows{Revision: elector.Revision{Version: 3}, Rows: []elector.Row{row("a", 1, "")}})
+				},
+				func(r *registrationTable) {
+					r.apply(Rows{Revision: elector.Revision{Version: 6}, Rows: []elector.Row{deleted("a", 5)}})
+				},
+				func(r *registrationTable) {
+					r.replace(Rows{Revision: elector.Revision{Version: 4}, Rows: []elector.Row{row("a", 1, "")}})
+				},
 			},
 		},
 		"a row of another program": {
 			steps: []func(r *registrationTable){
 				func(r *registrationTable) {
-					r.replace(Rows{Version: 3, Rows: []elector.Row{row("a", 1, ""), row("x", 2, "bad")}})
+					r.replace(Rows{Revision: elector.Revision{Version: 3}, Rows: []elector.Row{row("a", 1, ""), row("x", 2, "bad")}})
+				},
+				func(r *registrationTable) {
+					r.apply(Rows{Revision: elector.Revision{Version: 4}, Rows: []elector.Row{row("b", 4, "")}})
 				},
-				func(r *registrationTable) { r.apply(Rows{Version: 4, Rows: []elector.Row{row("b", 4, "")}}) },
 			},
 			want:   []string{"a", "b"},
 			logged: 1,
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -170,7 +170,7 @@
 			p.cache.confirm(table, readAt)
 			return reading{Rows: rows, readAt: readAt, source: reader}, nil
 		case err == nil && !shared.TooLarge:
-			rows = Rows{Rows: shared.Rows, Version: shared.Version}
+			rows = Rows{Rows: shared.Rows, Revision: shared.Revision}
 			p.cache.set(table, rows, readAt)
 			return reading{Rows: rows, readAt: readAt, source: reader}, nil
 		}
@@ -188,8 +188,9 @@
 	if err != nil {
 		return reading{}, err
 	}
+	p.recordRevision(rows.Revision)
 	if table == TableCoordination {
-		readAt = p.watermarks.freshAsOf(readAt, rows.Version)
+		readAt = p.watermarks.freshAsOf(readAt, rows.Revision)
 	}
 	p.cache.set(table, rows, readAt)
 	return reading{Rows: rows, readAt: readAt, source: sourceStore}, nil
@@ -327,6 +328,7 @@
 	defer cancel()
 	rows, err := p.deps.Feed(call, watch.table, version, wait)
 	p.recordDependency(watch.name+" feed", err)
+	p.recordRevision(rows.Revision)
 	readAt := requestedAt
 	if len(rows.Rows) == 0 && p.clock.Now()-requestedAt >= wait {
 		readAt += wait // the store waited for so long and found no change
@@ -354,7 +356,7 @@
 		watch.onUnchanged(readAt)
 		return shared.Generation, true
 	}
-	snapshot := reading{Rows: Rows{Rows: shared.Rows, Version: shared.Version}, readAt: readAt, source: reader}
+	snapshot := reading{Rows: Rows{Rows: shared.Rows, Revision: shared.Revision}, readAt: readAt, source: reader}
 	if shared.TooLarge {
 		call, cancel := p.callContext(ctx)
 		defer cancel()
@@ -385,7 +387,7 @@
 		onSnapshot: p.applyRows,
 		onChange: func(r reading) {
 			p.withElector(func(now timekeeper.Millis) []elector.Command {
-				return p.elector.ApplyChanges(now, r.Rows.Rows, r.Version)
+				return p.elector.ApplyChanges(now, r.Rows.Rows, r.Revision)
 			})
 		},
 		onUnchanged: func(readAt timekeeper.Millis) {
@@ -399,7 +401,7 @@
 func (p *Proxy) applyRows(r reading) {
 	defer func() { p.peerClient.AddPeers(p.peers()) }()
 	p.withElector(func(now timekeeper.Millis) []elector.Command {
-		return p.elector.SetRows(now, r.readAt, r.Rows.Rows, r.Version)
+		return p.elector.SetRows(now, r.readAt, r.Rows.Rows, r.Revision)
 	})
 }
 
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -8,6 +8,7 @@
 	"github.com/heatherhall/heatherhall/detourer"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -68,6 +69,22 @@
 	}
 }
 
+// recordRevision records a revision of the store and logs the first one of an era: the
+// store was then restored from a copy, or this daemon has just started.
+func (p *Proxy) recordRevision(revision elector.Revision) {
+	p.mu.Lock()
+	before := p.storeRevision
+	if before.Before(revision) {
+		p.storeRevision = revision
+	}
+	p.mu.Unlock()
+	if before.Era < revision.Era {
+		p.log.LogDecision(observer.Decision{Part: "store", Outcome: "era begins", Inputs: []observer.Field{
+			observer.F("era", revision.Era), observer.F("version", revision.Version), observer.F("before", before.Era), observer.F("have", before.Version),
+		}})
+	}
+}
+
 // readResult is the result of a read on one path to the store.
 type readResult struct {
 	rows Rows
@@ -124,23 +141,24 @@
 // transact runs a transaction on the direct path, and via a peer if the store refused
 // it without doing anything. If the direct path failed recently, it tries a peer first;
 // the peer's result is final if it is elector.Applied or elector.Conflict, or if tx has
-// conditions. It also returns the version of the store after the transaction, or 0 if
-// unknown.
-func (p *Proxy) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, int64) {
+// conditions. It also returns the revision of the store after the transaction, or the zero
+// revision if unknown.
+func (p *Proxy) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, elector.Revision) {
 	request := detourer.TransactionRequest{Table: int(table), Transaction: tx}
 	if p.storeRecentlyFailed() {
 		if result := p.peerClient.Transact(ctx, request); result == elector.Applied || result == elector.Conflict || len(tx.Expect) > 0 {
-			return result, 0
+			return result, elector.Revision{}
 		}
 	}
 	sentAt := p.clock.Now()
-	result, version := p.deps.Transact(ctx, table, tx)
+	result, revision := p.deps.Transact(ctx, table, tx)
+	p.recordRevision(revision)
 	if result == elector.Applied {
-		p.watermarks.add(sentAt, version)
+		p.watermarks.add(sentAt, revision)
 	}
 	p.setStoreFailed(result == elector.Refused || result == elector.Indeterminate)
 	if result == elector.Refused {
-		return p.peerClient.Transact(ctx, request), 0
+		return p.peerClient.Transact(ctx, request), elector.Revision{}
 	}
-	return result, version
+	return result, revision
 }
--- a/proxier/watermarks.go
+++ b/proxier/watermarks.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -17,16 +18,16 @@
 	marks []watermark
 }
 
-// watermark records that a transaction sent at sentAt moved the store to version.
+// watermark records that a transaction sent at sentAt moved the store to revision.
 type watermark struct {
-	sentAt  timekeeper.Millis
-	version int64
+	sentAt   timekeeper.Millis
+	revision elector.Revision
 }
 
-// add records a transaction of this daemon: when it was sent and the version of the
-// store after it. It ignores version 0, which means unknown.
-func (w *watermarks) add(sentAt timekeeper.Millis, version int64) {
-	if version == 0 {
+// add records a transaction of this daemon: when it was sent and the revision of
+// the store after it. It ignores version 0, which means unknown.
+func (w *watermarks) add(sentAt timekeeper.Millis, revision elector.Revision) {
+	if revision.Version == 0 {
 		return
 	}
 	w.mu.Lock()
@@ -34,18 +35,18 @@
 	if len(w.marks) == maxWatermarks {
 		w.marks = append(w.marks[:0], w.marks[1:]...)
 	}
-	w.marks = append(w.marks, watermark{sentAt: sentAt, version: version})
+	w.marks = append(w.marks, watermark{sentAt: sentAt, revision: revision})
 }
 
 // freshAsOf returns the time, at most requestedAt, up to which a snapshot of the given
-// version is guaranteed to be current: when the newest transaction that it includes
+// revision is guaranteed to be current: when the newest transaction that it includes
 // was sent. It returns 0 if no recorded transaction is included.
-func (w *watermarks) freshAsOf(requestedAt timekeeper.Millis, version int64) timekeeper.Millis {
+func (w *watermarks) freshAsOf(requestedAt timekeeper.Millis, revision elector.Revision) timekeeper.Millis {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	latest := timekeeper.Millis(0)
 	for _, mark := range w.marks {
-		if mark.version <= version {
+		if mark.revision.Version <= revision.Version {
 			latest = max(latest, mark.sentAt)
 		}
 	}
--- a/proxier/watermarks_test.go
+++ b/proxier/watermarks_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -22,11 +23,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var w watermarks
-			w.add(1000, 10)
-			w.add(4000, 20)
-			w.add(7000, 40)
-			w.add(8000, 0)
-			if got := w.freshAsOf(test.requestedAt, test.version); got != test.want {
+			w.add(1000, elector.Revision{Version: 10})
+			w.add(4000, elector.Revision{Version: 20})
+			w.add(7000, elector.Revision{Version: 40})
+			w.add(8000, elector.Revision{Version: 0})
+			if got := w.freshAsOf(test.requestedAt, elector.Revision{Version: test.version}); got != test.want {
 				t.Errorf("got %d, want %d", got, test.want)
 			}
 		})
