--- a/proxier/follower_test.go
+++ b/proxier/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -20,8 +21,8 @@
 
 // memoryStore is a store in memory. Each daemon uses it through a storePath.
 type memoryStore struct {
-	mu      sync.Mutex
-	version int64
+	mu       sync.Mutex
+	revision elector.Revision
 	// rows are the rows of all tables, deleted ones included, by table and key.
 	rows map[Table]map[string]elector.Row
 	// changed is closed at the next change.
@@ -29,13 +30,33 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{rows: map[Table]map[string]elector.Row{}, changed: make(chan struct{})}
+	return &memoryStore{revision: elector.Revision{Era: 1}, rows: map[Table]map[string]elector.Row{}, changed: make(chan struct{})}
+}
+
+// copyRows returns a copy of the store's content.
+func (s *memoryStore) copyRows() (map[Table]map[string]elector.Row, elector.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := map[Table]map[string]elector.Row{}
+	for table, byKey := range s.rows {
+		rows[table] = maps.Clone(byKey)
+	}
+	return rows, s.revision
+}
+
+// restore replaces the store's content by a copy, which begins an era.
+func (s *memoryStore) restore(rows map[Table]map[string]elector.Row, revision elector.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.revision = rows, elector.Revision{Era: s.revision.Era + 1, Version: revision.Version}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // putLocked sets a row. The lock must be held.
 func (s *memoryStore) putLocked(table Table, row elector.Row) {
-	s.version++
-	row.Version = s.version
+	s.revision.Version++
+	row.Version = s.revision.Version
 	if s.rows[table] == nil {
 		s.rows[table] = map[string]elector.Row{}
 	}
@@ -106,18 +127,22 @@
 	p.memoryStore.mu.Lock()
 	defer p.memoryStore.mu.Unlock()
 	rows := slices.DeleteFunc(p.changesLocked(table, 0), func(row elector.Row) bool { return row.Deleted })
-	return Rows{Rows: rows, Revision: elector.Revision{Version: p.version}}, nil
+	return Rows{Rows: rows, Revision: p.revision}, nil
 }
 
 func (p *storePath) feed(ctx context.Context, table Table, after int64, wait timekeeper.Millis) (Rows, error) {
 	deadline := time.After(wait.Duration())
+	era := int64(0)
 	for waiting := true; waiting; {
 		if err := p.connected(ctx); err != nil {
 			return Rows{}, err
 		}
 		p.memoryStore.mu.Lock()
-		rows, changed := Rows{Rows: p.changesLocked(table, after), Revision: elector.Revision{Version: p.version}}, p.changed
+		rows, changed := Rows{Rows: p.changesLocked(table, after), Revision: p.revision}, p.changed
 		p.memoryStore.mu.Unlock()
+		if era = rows.Era; rows.Version < after {
+			return Rows{}, &Error{Op: "feed", Kind: KindStale, Text: "the store does not have the version"}
+		}
 		if len(rows.Rows) > 0 {
 			return rows, nil
 		}
@@ -130,7 +155,7 @@
 			waiting = false
 		}
 	}
-	return Rows{Revision: elector.Revision{Version: after}}, p.connected(ctx)
+	return Rows{Revision: elector.Revision{Era: era, Version: after}}, p.connected(ctx)
 }
 
 func (p *storePath) transact(ctx context.Context, table Table, tx elector.Transaction) (elector.Result, elector.Revision) {
@@ -151,7 +176,7 @@
 	for _, key := range tx.Delete {
 		p.putLocked(table, elector.Row{Key: key, Deleted: true})
 	}
-	return elector.Applied, elector.Revision{Version: p.version}
+	return elector.Applied, p.revision
 }
 
 // decodeCatalog decodes a row of memoryStore.setCatalog.
@@ -287,3 +312,57 @@
 		})
 	}
 }
+
+// TestCatalogAfterRestore guards against daemons that take what is written to a restored
+// store for old, because the store gives out lower versions than before.
+func TestCatalogAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		// lost and rewritten are how many catalogs are written after the copy was
+		// made and after it was restored. They exceed the versions of the store.
+		lost, rewritten int
+		restores        int
+	}{
+		"the store reaches the old version again": {lost: 5, rewritten: 30, restores: 1},
+		"the store stays below the old version":   {lost: 200, rewritten: 1, restores: 1},
+		"two restores":                            {lost: 200, rewritten: 1, restores: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newMemoryStore()
+			store.setCatalog(1)
+			daemons := []*storeDaemon{startStoreDaemon(t, "d0", "", store), startStoreDaemon(t, "d1", "", store)}
+			inForce := func(version int64) func() bool {
+				return func() bool {
+					return !slices.ContainsFunc(daemons, func(d *storeDaemon) bool { return d.catalogVersion() != version })
+				}
+			}
+			waitFor(t, "the follower knows its domain reader", func() bool {
+				return daemons[1].domainReader() != "" && inForce(1)()
+			})
+			version := int64(1)
+			write := func(n int) {
+				for range n {
+					version++
+					store.setCatalog(version)
+				}
+			}
+			rows, revision := store.copyRows()
+			for range test.restores {
+				write(test.lost)
+				waitFor(t, "the last catalog before the restore is in force", inForce(version))
+				copied := map[Table]map[string]elector.Row{}
+				for table, byKey := range rows {
+					copied[table] = maps.Clone(byKey)
+				}
+				store.restore(copied, revision)
+				write(test.rewritten)
+				restored := time.Now()
+				waitFor(t, "the last catalog after the restore is in force", inForce(version))
+				if delay := time.Since(restored); delay > maxCatalogDelay {
+					t.Errorf("in force after %v, want %v at most", delay, maxCatalogDelay)
+				}
+			}
+		})
+	}
+}
--- a/proxier/harness_test.go
+++ b/proxier/harness_test.go
@@ -155,8 +155,9 @@
 	revision elector.Revision
 }
 
-// snapshotRetention is how long snapshots are kept. It exceeds any readLag.
-const snapshotRetention timekeeper.Millis = 8000
+// snapshotRetention is how long snapshots are kept. It exceeds any readLag and the age
+// of any copy that is restored.
+const snapshotRetention timekeeper.Millis = 22_000
 
 // ackedWrite records when a write was acknowledged to a client and by which server.
 type ackedWrite struct {
@@ -210,6 +211,19 @@
 	return sim.snapshots[i-1].rows, sim.snapshots[i-1].revision
 }
 
+// restoreStore replaces the store's rows by those of a past time, which begins an era.
+func (sim *simulation) restoreStore(age timekeeper.Millis) {
+	i, _ := slices.BinarySearchFunc(sim.snapshots, sim.Now()-age, func(s snapshot, at timekeeper.Millis) int { return cmp.Compare(s.at, at+1) })
+	restored := snapshot{rows: map[string]elector.Row{}}
+	if i > 0 {
+		restored = sim.snapshots[i-1]
+	}
+	sim.rows = maps.Clone(restored.rows)
+	sim.revision = elector.Revision{Era: sim.revision.Era + 1, Version: restored.revision.Version}
+	sim.snapshots = nil
+	sim.logEvent("the store is restored to version %d", sim.revision.Version)
+}
+
 // logEvent adds a line to the log that is printed with a violation.
 func (sim *simulation) logEvent(format string, args ...any) {
 	sim.events = append(sim.events, fmt.Sprintf("%6d ", sim.Now())+fmt.Sprintf(format, args...))
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -126,10 +126,53 @@
 	},
 }
 
-// TestChangesOfPrimary plays each scenario with several seeds and checks the primary,
-// the time for which statements are paused, and the simulation's invariants.
+// restoreScenarios are the scenarios of TestStoreRestored by name.
+var restoreScenarios = map[string]scenario{
+	"a restored store does not stop service": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			12_000: func(sim *simulation) { sim.storeDown = true },
+			13_000: func(sim *simulation) { sim.storeDown = false; sim.restoreStore(11_000) },
+			14_000: func(sim *simulation) { sim.failedBefore = sim.failed },
+			25_000: func(sim *simulation) {
+				if failed := sim.failed - sim.failedBefore; failed > 0 {
+					sim.violation("%d operations failed after the restore, want none", failed)
+				}
+			},
+		},
+		wantPrimary: "s0", deadline: 25_100,
+	},
+	"a primary change that a restored store has lost is not undone": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			faultStart: func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
+			12_000:     func(sim *simulation) { sim.servers[0].down = false; sim.storeDown = true },
+			13_000:     func(sim *simulation) { sim.storeDown = false; sim.restoreStore(9000) },
+		},
+		deadline: 25_000,
+	},
+	"a primary is replaced after the store was restored": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			10_000: func(sim *simulation) { sim.storeDown = true },
+			11_000: func(sim *simulation) { sim.storeDown = false; sim.restoreStore(9500) },
+			13_000: func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
+		},
+		deadline: 15_000 + promotionTime,
+	},
+}
+
 func TestChangesOfPrimary(t *testing.T) {
-	for name, test := range primaryChangeScenarios {
+	runScenarios(t, primaryChangeScenarios)
+}
+
+// TestStoreRestored guards against a standstill, and against a change of primary that is
+// undone or lost, after the store comes back from an older copy.
+func TestStoreRestored(t *testing.T) {
+	runScenarios(t, restoreScenarios)
+}
+
+// runScenarios plays each scenario with several seeds and checks the primary, the time
+// for which statements are paused, and the simulation's invariants.
+func runScenarios(t *testing.T, scenarios map[string]scenario) {
+	for name, test := range scenarios {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(8) {
 				sim := newSimulation(seed+1, 3, 16, max(test.leaseDuration, testLease))
--- a/proxier/simulation_test.go
+++ b/proxier/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand"
 	"strings"
 	"testing"
 
@@ -77,7 +78,22 @@
 // runSchedule runs one random schedule with a number of daemons and a limit of
 // connections to each server, and returns the simulation after it.
 func runSchedule(seed int64, daemons, connectionLimit int) *simulation {
+	return runScheduleWithRestores(seed, daemons, connectionLimit, 0)
+}
+
+// runScheduleWithRestores is runSchedule with outages of the store, after each of which
+// it comes back from a copy.
+func runScheduleWithRestores(seed int64, daemons, connectionLimit, restores int) *simulation {
 	sim := newSimulation(seed, daemons, connectionLimit, testLease)
+	random := rand.New(rand.NewSource(seed))
+	for range restores {
+		at := timekeeper.Millis(2500 + random.Intn(14_000))
+		length, age := timekeeper.Millis(random.Intn(2500)), timekeeper.Millis(500+random.Intn(12_000))
+		sim.After(at, func() { sim.injectFault("store down before a restore", func(sim *simulation) { sim.storeDown = true }) })
+		sim.After(at+length, func() {
+			sim.injectFault("store restored", func(sim *simulation) { sim.storeDown = false; sim.restoreStore(age) })
+		})
+	}
 	for i := range 9 {
 		sim.After(200, func() { sim.connectClient(fmt.Sprintf("c%d", i), []string{"primary", "session", "bounded"}[i%3]) })
 	}
@@ -112,3 +128,22 @@
 		t.Errorf("only %d operations were served in %d schedules, want 300 or more for each", served, *simulationSeeds)
 	}
 }
+
+// TestRandomSchedulesWithRestores guards against promises that rest on rows which a
+// restored store has lost: the random schedules, with one or two restores at any moment.
+func TestRandomSchedulesWithRestores(t *testing.T) {
+	served := 0
+	for i := range *simulationSeeds {
+		seed := *simulationFirst + int64(i)
+		sim := runScheduleWithRestores(seed, 3, 16, 1+i%2)
+		served += sim.served
+		if len(sim.violations) > 0 {
+			t.Errorf("seed %d: %s\n%s", seed, strings.Join(sim.violations, "\n"), strings.Join(sim.events, "\n"))
+			return
+		}
+	}
+	t.Logf("%d schedules, %d operations served", *simulationSeeds, served)
+	if served < 300**simulationSeeds {
+		t.Errorf("only %d operations were served in %d schedules, want 300 or more for each", served, *simulationSeeds)
+	}
+}
