Order catalogs and registrations by the store's era and version

Cause: the cache, the registrations and the feed compared versions of different eras. Class: a counter taken for an order beyond the life of what counts it.

Change: they compare elector.Revision. A daemon does not follow a domain reader whose era is older than its own.

--- a/proxier/cache.go
+++ b/proxier/cache.go
@@ -34,7 +34,7 @@
 	revision elector.Revision
 	// generation rises with each change of the rows.
 	generation int64
-	// digest is a hash of the rows' keys and versions.
+	// digest is a hash of the era and the rows' keys and versions.
 	digest uint64
 	// size is the size of the rows' keys and values in bytes.
 	size int
@@ -65,20 +65,21 @@
 // generation. They leave room for the changes within a millisecond of the start.
 const generationBits = 16
 
-// set replaces a table by a full read that is current as of readAt. It ignores rows
-// older than the cached ones.
+// set replaces a table by a full read that is current as of readAt. It ignores rows of
+// an earlier revision than the cached ones.
 func (c *cache) set(table Table, rows Rows, readAt timekeeper.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.getOrCreate(table)
-	if rows.Version < t.revision.Version {
+	if rows.Before(t.revision) {
 		return
 	}
 	byKey := make(map[string]elector.Row, len(rows.Rows))
 	for _, row := range rows.Rows {
 		byKey[row.Key] = row
 	}
-	same := maps.EqualFunc(t.rows, byKey, func(a, b elector.Row) bool { return a.Version == b.Version && bytes.Equal(a.Value, b.Value) })
+	// A restored store may give a row's version to another value.
+	same := rows.Era == t.revision.Era && maps.EqualFunc(t.rows, byKey, func(a, b elector.Row) bool { return a.Version == b.Version && bytes.Equal(a.Value, b.Value) })
 	t.revision, t.readAt = rows.Revision, max(t.readAt, readAt)
 	if t.rows == nil || !same {
 		t.replace(byKey)
@@ -86,13 +87,14 @@
 }
 
 // apply updates the rows that changed since the last snapshot; readAt is when the
-// store was asked for them. Changes of TableCoordination do not advance the age of its
-// snapshot, because primary leases are based on full reads alone.
+// store was asked for them. It ignores changes of another era than the snapshot's.
+// Changes of TableCoordination do not advance the age of its snapshot, because primary
+// leases are based on full reads alone.
 func (c *cache) apply(table Table, rows Rows, readAt timekeeper.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.getOrCreate(table)
-	if t.rows == nil {
+	if t.rows == nil || rows.Era != t.revision.Era {
 		return
 	}
 	if table != TableCoordination {
@@ -131,15 +133,23 @@
 	return c.getOrCreate(table).readAt
 }
 
+// era returns the store's era of the snapshot of a table, or 0 if there is none.
+func (c *cache) era(table Table) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.getOrCreate(table).revision.Era
+}
+
 // replace sets the rows and ends the waits of other daemons' long polls.
 func (t *cachedTable) replace(rows map[string]elector.Row) {
 	t.rows = rows
 	t.generation++
 	t.size = 0
 	hash := xxhash.New()
+	// Writes to the hash never fail, by its documentation.
+	_, _ = fmt.Fprintf(hash, "%d\n", t.revision.Era)
 	for _, key := range slices.Sorted(maps.Keys(rows)) {
 		t.size += len(key) + len(rows[key].Value)
-		// Writes to the hash never fail, by its documentation.
 		_, _ = fmt.Fprintf(hash, "%q %d\n", key, rows[key].Version)
 	}
 	t.digest = hash.Sum64()
--- a/proxier/registrations.go
+++ b/proxier/registrations.go
@@ -25,7 +25,7 @@
 func (t *registrationTable) replace(rows Rows) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if rows.Version < t.revision.Version {
+	if rows.Before(t.revision) {
 		return
 	}
 	t.rows, t.revision = make(map[string]elector.Row, len(rows.Rows)), rows.Revision
@@ -34,10 +34,14 @@
 	}
 }
 
-// apply updates the rows that changed.
+// apply updates the rows that changed. It ignores changes of another era than that of
+// the last full read.
 func (t *registrationTable) apply(rows Rows) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if rows.Era != t.revision.Era {
+		return
+	}
 	for _, row := range rows.Rows {
 		if row.Version <= t.rows[row.Key].Version {
 			continue
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -165,6 +165,9 @@
 		rows, digest := p.cache.snapshot(table)
 		shared, err := p.fetchCached(call, reader, detourer.RowsRequest{Table: int(table), KnownDigest: digest, MaxAge: maxAge(table)})
 		readAt := shared.ReadAt(requestedAt)
+		if err == nil && shared.Era < p.cache.era(table) {
+			err = &Error{Op: "scan", Kind: KindStale, Text: "the domain reader does not know the store's era"}
+		}
 		switch {
 		case err == nil && shared.Unchanged:
 			p.cache.confirm(table, readAt)
@@ -281,16 +284,18 @@
 
 // watchTable follows a table: through the domain reader if that answers, otherwise by
 // a full read and then the store's change feed. After an error of the feed it does a
-// full read again, because the store may no longer have the changes.
+// full read again, because the store may no longer have the changes or may have been
+// restored from a copy.
 func (p *Proxy) watchTable(ctx context.Context, watch tableWatch) {
-	version, generation := int64(0), int64(0)
+	var revision elector.Revision
+	generation := int64(0)
 	p.poll(ctx, watch.pause, func() error {
 		if next, ok := p.watchCached(ctx, watch, generation); ok {
-			version, generation = 0, next
+			revision, generation = elector.Revision{}, next
 			return nil
 		}
 		generation = 0
-		if version == 0 {
+		if revision.Version == 0 {
 			call, cancel := p.callContext(ctx)
 			defer cancel()
 			snapshot, err := p.scanStore(call, watch.table, watch.name)
@@ -298,27 +303,28 @@
 				return err
 			}
 			watch.onSnapshot(snapshot)
-			version = snapshot.Version
+			revision = snapshot.Revision
 			return nil
 		}
-		rows, err := p.feed(ctx, watch, version)
+		rows, err := p.feed(ctx, watch, revision)
 		if err != nil {
-			version = 0
+			revision = elector.Revision{}
 			return err
 		}
 		p.cache.apply(watch.table, rows.Rows, rows.readAt)
 		if len(rows.Rows.Rows) > 0 {
 			watch.onChange(rows)
 		}
-		version = max(version, rows.Version)
+		revision.Version = max(revision.Version, rows.Version)
 		return nil
 	})
 }
 
-// feed requests the changes of a table after a version from the store. The long poll is
+// feed requests the changes of a table after a revision from the store. It fails if the
+// answer is of another era, in which other changes have the same versions. The long poll is
 // shorter if the last answer brought changes, so that the snapshot in the cache is never
 // much older than feedWait.
-func (p *Proxy) feed(ctx context.Context, watch tableWatch, version int64) (reading, error) {
+func (p *Proxy) feed(ctx context.Context, watch tableWatch, after elector.Revision) (reading, error) {
 	requestedAt := p.clock.Now()
 	wait := watch.feedWait
 	if watch.table != TableCoordination { // the age of its snapshot is that of the last full read
@@ -326,9 +332,12 @@
 	}
 	call, cancel := context.WithTimeout(ctx, (wait + feedTimeoutMargin).Duration())
 	defer cancel()
-	rows, err := p.deps.Feed(call, watch.table, version, wait)
+	rows, err := p.deps.Feed(call, watch.table, after.Version, wait)
 	p.recordDependency(watch.name+" feed", err)
 	p.recordRevision(rows.Revision)
+	if err == nil && rows.Era != after.Era {
+		err = &Error{Op: "feed", Kind: KindStale, Text: "the store was restored"}
+	}
 	readAt := requestedAt
 	if len(rows.Rows) == 0 && p.clock.Now()-requestedAt >= wait {
 		readAt += wait // the store waited for so long and found no change
@@ -348,7 +357,7 @@
 	_, digest := p.cache.snapshot(watch.table)
 	shared, err := p.fetchCached(ctx, reader, detourer.RowsRequest{Table: int(watch.table), KnownGeneration: generation, KnownDigest: digest, MaxWait: watch.followWait, MaxAge: maxAge(watch.table)})
 	readAt := shared.ReadAt(requestedAt)
-	if err != nil || p.clock.Now()-readAt > maxAge(watch.table) {
+	if err != nil || shared.Era < p.cache.era(watch.table) || p.clock.Now()-readAt > maxAge(watch.table) {
 		return 0, false
 	}
 	if shared.Unchanged {
--- a/proxier/watermarks.go
+++ b/proxier/watermarks.go
@@ -46,7 +46,7 @@
 	defer w.mu.Unlock()
 	latest := timekeeper.Millis(0)
 	for _, mark := range w.marks {
-		if mark.revision.Version <= revision.Version {
+		if !revision.Before(mark.revision) {
 			latest = max(latest, mark.sentAt)
 		}
 	}
