Keep leases and primary records through a restore of the store

Cause: the elector took every row of the restored store for older, so leases ended and no change of primary began. Without that check it would have taken lost rows for decisions: changes of primary undone, numbers given out twice, daemons forgotten that still held a lease.

A coordinator of an earlier era takes its role again first. - Conditional writes fail in a later era: they expect that its row does not exist. - Daemons register again in each era. Their leases run on meanwhile, but are renewed only then. A change waits for daemons that anybody remembers (Ack.Absent). - A change announced before the era is not cancelled, since its successor may be lost. - Heartbeats that the copy shows again are no sign of life.

--- a/elector/change.go
+++ b/elector/change.go
@@ -90,7 +90,7 @@
 // runChange starts a primary change if there is a reason, or runs the next step
 // of the one that this daemon coordinates.
 func (e *Elector) runChange(now timekeeper.Millis, g *group) {
-	if e.leaving || !e.registered() {
+	if e.leaving || !e.registered() || !e.recovered() || g.recordLost {
 		return
 	}
 	reason := e.reasonFor(now, g)
@@ -98,7 +98,7 @@
 		g.reason, g.reasonSince = reason, now
 	}
 	// The rows do not contain this daemon's own last write yet.
-	rowsStale := g.ownWriteVersion > 0
+	rowsStale := g.ownWrite != Revision{}
 	if rowsStale && g.change.stage == stageNone || g.record.ChangeReason != "" && g.record.ChangeNumber <= g.lastFinishedChange {
 		return
 	}
@@ -108,7 +108,7 @@
 	if reason == "" && g.change.stage == stageNone {
 		return
 	}
-	if e.coordinator.Holder != e.settings.Self.Name {
+	if !e.coordinates() {
 		g.change = change{}
 		e.acquireCoordinator(now, g)
 		return
@@ -140,14 +140,20 @@
 	}
 }
 
+// coordinates reports whether this daemon is the failover coordinator of the present
+// era.
+func (e *Elector) coordinates() bool {
+	return e.coordinator.Holder == e.settings.Self.Name && e.coordinator.FencingToken > numberFloor(e.revision.Era)
+}
+
 // acquireCoordinator makes this daemon the failover coordinator if there is
-// none, if the current one is not registered, or if the current one is not live
+// none, if it was the last one of an earlier era, if the current one is not registered, or if the current one is not live
 // and a change has been needed or under way for HeartbeatTimeout.
 func (e *Elector) acquireCoordinator(now timekeeper.Millis, g *group) {
 	if e.acquiring || now < e.acquireDue {
 		return
 	}
-	if e.coordinator.Holder != "" {
+	if e.coordinator.Holder != "" && e.coordinator.Holder != e.settings.Self.Name {
 		_, registered := e.hosts[e.coordinator.Holder]
 		neededSince := g.reasonSince
 		if g.record.ChangeReason != "" {
@@ -157,7 +163,7 @@
 			return
 		}
 	}
-	next := Coordinator{Holder: e.settings.Self.Name, FencingToken: e.coordinator.FencingToken + 1}
+	next := Coordinator{Holder: e.settings.Self.Name, FencingToken: max(e.coordinator.FencingToken, numberFloor(e.revision.Era)) + 1}
 	e.acquiring, e.acquireDue = true, now+e.settings.HeartbeatInterval
 	e.log("requests the failover coordinator role", observer.F("holder", e.coordinator.Holder), observer.F("fence", next.FencingToken),
 		observer.F("live", e.live(now, e.coordinator.Holder)))
@@ -218,7 +224,7 @@
 func (e *Elector) announce(now timekeeper.Millis, g *group, reason Reason) {
 	next := g.record
 	next.Primary = g.primary()
-	next.ChangeNumber++
+	next.ChangeNumber = max(next.ChangeNumber, numberFloor(e.revision.Era)) + 1
 	next.ChangeReason = reason
 	if next.Term == 0 {
 		next.Term = e.deps.PrimaryHealth(g.name, next.Primary).Term
@@ -251,12 +257,12 @@
 // coordinator has changed since this daemon read them.
 func (e *Elector) writeRecord(g *group, next PrimaryRecord, done func(timekeeper.Millis, Result)) {
 	e.write(Transaction{
-		Expect: []Row{{Key: recordPrefix + g.name, Version: max(g.recordVersion, g.ownWriteVersion)}, {Key: coordinatorKey, Version: e.rows[coordinatorKey].Version}},
+		Expect: []Row{{Key: recordPrefix + g.name, Version: max(g.recordVersion, g.ownWrite.Version)}, {Key: coordinatorKey, Version: e.rows[coordinatorKey].Version}},
 		Set:    []Row{encode(recordPrefix+g.name, next)},
 	}, func(now timekeeper.Millis, result Result, revision Revision) {
-		g.ownWriteVersion = 0
+		g.ownWrite = Revision{}
 		if result == Applied {
-			g.ownWriteVersion = revision.Version
+			g.ownWrite = revision
 		}
 		if result == Applied && next.ChangeReason == "" {
 			g.lastFinishedChange = next.ChangeNumber
@@ -266,20 +272,27 @@
 }
 
 // collectAcks waits until every registered daemon has released the primary, or
-// until the leases of the others have expired. A rejection cancels the change,
-// unless a successor is recorded already; the change then waits for the
-// rejecting daemon's lease to expire.
+// until the leases of the others have expired. A rejection cancels the change if it
+// can be cancelled; otherwise the change waits for the rejecting daemon's lease to
+// expire. After the store was restored, the change also waits for the daemons whose
+// registrations were lost, which other daemons may remember.
 func (e *Elector) collectAcks(now timekeeper.Millis, g *group) {
 	c := &g.change
 	leasesExpired := now >= c.announced+e.settings.LeaseDuration+e.settings.ClockSkew
 	var missing []string
+	complete := e.knowsHosts(now)
+	absent := map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
 		ack, found := e.acks[g.name][name]
 		if !found || ack.ChangeNumber != c.number || ack.Incarnation != e.hosts[name].Incarnation {
 			missing = append(missing, name)
 			continue
 		}
-		if ack.Rejects && g.record.Successor == "" {
+		complete = complete || ack.Complete
+		for _, other := range ack.Absent {
+			absent[other] = true
+		}
+		if ack.Rejects && e.cancellable(g) {
 			e.cancelChange(now, g, "the primary responds to a daemon: "+name)
 			return
 		}
@@ -289,8 +302,16 @@
 		}
 		c.highestPosition = sequencer.Max(c.highestPosition, ack.HighestPosition)
 	}
+	for _, name := range slices.Sorted(maps.Keys(absent)) {
+		if _, known := e.hosts[name]; (!known || e.hosts[name].Era != e.revision.Era && !slices.Contains(missing, name)) && !e.earlierLeasesExpired(now) {
+			missing = append(missing, name)
+		}
+	}
+	if !complete {
+		missing = append(missing, "daemons of an earlier era")
+	}
 	if len(missing) > 0 && !leasesExpired {
-		if c.reason == ReasonHandover && g.record.Successor == "" && now-c.announced > handoverAckTimeout {
+		if c.reason == ReasonHandover && e.cancellable(g) && now-c.announced > handoverAckTimeout {
 			e.cancelChange(now, g, "a daemon does not acknowledge: "+missing[0])
 			g.cancelBackoffUntil = now + e.settings.HeartbeatTimeout
 		}
@@ -310,7 +331,7 @@
 func (e *Elector) deleteExpired(g *group, names []string) {
 	tx := Transaction{Expect: []Row{{Key: recordPrefix + g.name, Version: g.recordVersion}}}
 	for _, name := range names {
-		if name != e.settings.Self.Name {
+		if _, stored := e.registrations[name]; stored && name != e.settings.Self.Name {
 			tx.Expect = append(tx.Expect, Row{Key: hostPrefix + name, Version: e.rows[hostPrefix+name].Version})
 			tx.Delete = append(tx.Delete, hostPrefix+name)
 		}
@@ -442,7 +463,7 @@
 		}
 		required := sequencer.Max(c.finalPosition, c.highestPosition)
 		if status.Received.Before(required) && now-c.announced < e.settings.CatchUpTimeout {
-			if old, registered := e.serversByID[g.record.Primary]; registered && c.reason == ReasonFailure && g.record.Successor == "" {
+			if old, registered := e.serversByID[g.record.Primary]; registered && c.reason == ReasonFailure && e.cancellable(g) {
 				e.cancelIfRecovered(now, g, old)
 			}
 			return
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -121,16 +121,22 @@
 	// readAt is when the last full read of the rows was requested, or the last
 	// request that found no row changed. The primary leases start at this time.
 	// haveRows is set once a full read has finished.
-	readAt      timekeeper.Millis
-	haveRows    bool
-	hosts       map[string]Host
-	acks        map[string]map[string]Ack
-	coordinator Coordinator
-	heartbeats  map[string]observedHeartbeat
+	readAt   timekeeper.Millis
+	haveRows bool
+	// registrations holds the daemons' registrations in the rows, and hosts also the
+	// daemons that are remembered from earlier eras.
+	registrations map[string]Host
+	hosts         map[string]Host
+	era           eraState
+	acks          map[string]map[string]Ack
+	coordinator   Coordinator
+	heartbeats    map[string]observedHeartbeat
 	// heartbeatsAt is when the heartbeats were last read.
 	heartbeatsAt timekeeper.Millis
-	groups       map[string]*group
-	serversByID  map[string]cataloger.Server
+	// heartbeatsEra is the store's era of that reading.
+	heartbeatsEra int64
+	groups        map[string]*group
+	serversByID   map[string]cataloger.Server
 
 	lastCommandID     uint64
 	pendingWrites     map[uint64]func(now timekeeper.Millis, result Result, revision Revision)
@@ -155,7 +161,7 @@
 	}
 	return &Elector{
 		settings: settings, deps: deps,
-		rows: map[string]Row{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
+		rows: map[string]Row{}, registrations: map[string]Host{}, hosts: map[string]Host{}, acks: map[string]map[string]Ack{},
 		revocations: map[string]observedRevocation{}, heartbeats: map[string]observedHeartbeat{}, groups: map[string]*group{}, serversByID: map[string]cataloger.Server{},
 		pendingWrites:     map[uint64]func(timekeeper.Millis, Result, Revision){},
 		pendingInspects:   map[uint64]func(timekeeper.Millis, ServerStatus, error){},
@@ -174,10 +180,23 @@
 	e.deps.Log(observer.Decision{Part: "elector", Outcome: outcome, Inputs: fields})
 }
 
-// write queues a Write. done runs when WriteFinished reports its result.
+// write queues a Write. done runs when WriteFinished reports its result. Conditions on
+// versions hold in the present era only: a conditional Write does not take effect in a
+// later era that is recovered. A Write counts as Indeterminate once another era has
+// begun, because the store may have lost it.
 func (e *Elector) write(tx Transaction, done func(now timekeeper.Millis, result Result, revision Revision)) {
+	era := e.revision.Era
+	if era > 0 && len(tx.Expect) > 0 {
+		tx.Expect = append(tx.Expect, Row{Key: eraKey(era + 1)})
+	}
 	e.lastCommandID++
-	e.pendingWrites[e.lastCommandID] = done
+	e.pendingWrites[e.lastCommandID] = func(now timekeeper.Millis, result Result, revision Revision) {
+		if result == Applied && (e.revision.Era != era || revision.Era > era) {
+			result = Indeterminate
+			e.commands = append(e.commands, ReloadRows{})
+		}
+		done(now, result, revision)
+	}
 	e.commands = append(e.commands, Write{ID: e.lastCommandID, Tx: tx})
 }
 
@@ -225,26 +244,40 @@
 // leases from requestedAt, the time when the read was requested. A read older
 // than the known revision is ignored.
 func (e *Elector) SetRows(now, requestedAt timekeeper.Millis, rows []Row, revision Revision) []Command {
-	if revision.Version < e.revision.Version {
-		e.log("older rows ignored", observer.F("version", revision.Version), observer.F("era", revision.Era), observer.F("have", e.revision.Version))
+	if revision.Before(e.revision) {
+		e.log("older rows ignored", observer.F("version", revision.Version), observer.F("era", revision.Era),
+			observer.F("have", e.revision.Version), observer.F("in", e.revision.Era))
 		return nil
 	}
 	byKey := make(map[string]Row, len(rows))
 	for _, row := range rows {
 		byKey[row.Key] = row
 	}
+	if revision.Era > e.revision.Era {
+		e.enterEra(now, byKey, revision)
+	}
 	e.rows = byKey
 	e.revision = revision
-	e.readAt = max(e.readAt, requestedAt)
 	e.haveRows = true
 	e.decodeRows(now)
+	e.renewLeases(requestedAt)
+	e.step(now)
 	return e.takeCommands()
 }
 
+// renewLeases renews the primary leases from requestedAt, the time when the rows were
+// requested. Leases of an earlier era are renewed once the daemon has registered in the
+// present one, since the other daemons may not know it before.
+func (e *Elector) renewLeases(requestedAt timekeeper.Millis) {
+	if _, unregistered := e.era.remembered[e.settings.Self.Name]; !unregistered {
+		e.readAt = max(e.readAt, requestedAt)
+	}
+}
+
 // ConfirmUnchanged renews the primary leases from requestedAt, the time of a
 // request that found no row changed.
 func (e *Elector) ConfirmUnchanged(now, requestedAt timekeeper.Millis) []Command {
-	e.readAt = max(e.readAt, requestedAt)
+	e.renewLeases(requestedAt)
 	e.step(now)
 	return e.takeCommands()
 }
@@ -267,8 +300,12 @@
 }
 
 // ApplyChanges applies the rows that changed up to a revision. Rows that are not
-// newer than the known ones are skipped. Leases are not renewed.
+// newer than the known ones are skipped, and so are all rows of another era than
+// theirs. Leases are not renewed.
 func (e *Elector) ApplyChanges(now timekeeper.Millis, rows []Row, revision Revision) []Command {
+	if revision.Era != e.revision.Era {
+		return nil
+	}
 	for _, row := range rows {
 		if have := e.rows[row.Key]; row.Version <= have.Version || row.Version <= e.revision.Version && have.Version == 0 {
 			continue
@@ -281,22 +318,21 @@
 	}
 	e.revision.Version = max(e.revision.Version, revision.Version)
 	e.decodeRows(now)
+	e.step(now)
 	return e.takeCommands()
 }
 
-// decodeRows decodes all rows and runs the steps that follow from them. A row
-// that can't be decoded is logged and skipped.
+// decodeRows decodes all rows. A row that can't be decoded is logged and skipped.
 func (e *Elector) decodeRows(now timekeeper.Millis) {
-	e.hosts = map[string]Host{}
+	e.registrations = map[string]Host{}
 	e.acks = map[string]map[string]Ack{}
-	e.coordinator = Coordinator{}
 	withRecord := map[string]bool{}
 	for _, key := range slices.Sorted(maps.Keys(e.rows)) {
 		row := e.rows[key]
 		var err error
 		switch {
 		case strings.HasPrefix(key, hostPrefix):
-			e.hosts[key[len(hostPrefix):]], err = decode[Host](row)
+			e.registrations[key[len(hostPrefix):]], err = decode[Host](row)
 		case strings.HasPrefix(key, ackPrefix):
 			err = e.decodeAckRow(row)
 		case strings.HasPrefix(key, recordPrefix):
@@ -304,21 +340,32 @@
 			withRecord[name] = true
 			err = e.group(name).setRecord(now, e, row)
 		case key == coordinatorKey:
-			e.coordinator, err = decode[Coordinator](row)
+			err = e.setCoordinator(row)
 		}
 		if err != nil {
 			e.log("row skipped", observer.F("key", key), observer.F("error", err.Error()))
 		}
 	}
+	e.hosts = maps.Clone(e.registrations)
+	e.rememberHosts(now)
 	for name, g := range e.groups {
 		if !withRecord[name] {
-			g.record, g.recordVersion = PrimaryRecord{}, 0
+			g.recordVersion, g.recordLost = 0, g.record.Primary != ""
 		}
-		if e.revision.Version >= g.ownWriteVersion {
-			g.ownWriteVersion = 0
+		if !e.revision.Before(g.ownWrite) {
+			g.ownWrite = Revision{}
 		}
 	}
-	e.step(now)
+}
+
+// setCoordinator decodes the row of the failover coordinator. A known coordinator with a
+// higher fencing token is kept, since the store may have lost it.
+func (e *Elector) setCoordinator(row Row) error {
+	coordinator, err := decode[Coordinator](row)
+	if err == nil && coordinator.FencingToken >= e.coordinator.FencingToken {
+		e.coordinator = coordinator
+	}
+	return err
 }
 
 func (e *Elector) decodeAckRow(row Row) error {
@@ -341,24 +388,32 @@
 }
 
 // SetHeartbeats records a reading of the heartbeats of all daemons by name, which
-// is current as of readAt. A heartbeat that changed counts as seen at that time.
-// If the previous reading is stale, all count as seen then, since it is unknown
-// when they last changed. Daemons without a heartbeat are forgotten. A reading
-// that is not newer than the previous one is ignored.
-func (e *Elector) SetHeartbeats(now, readAt timekeeper.Millis, heartbeats map[string]Heartbeat) {
-	if readAt <= e.heartbeatsAt {
+// is current as of readAt and of an era of the store. A heartbeat that changed counts
+// as seen at that time. If the previous reading is stale, all count as seen then, since
+// it is unknown when they last changed. The first reading of an era shows older
+// heartbeats again, which are no sign of life. Daemons whose heartbeat is missing are
+// forgotten once they have been silent for HeartbeatTimeout. A reading that is not newer
+// than the previous one is ignored.
+func (e *Elector) SetHeartbeats(now, readAt timekeeper.Millis, era int64, heartbeats map[string]Heartbeat) {
+	if readAt <= e.heartbeatsAt || era < e.heartbeatsEra {
 		return
 	}
 	stale := readAt-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
-	e.heartbeatsAt = min(readAt, now)
+	restored := era > e.heartbeatsEra
+	e.heartbeatsAt, e.heartbeatsEra = min(readAt, now), era
 	e.expireDue = 0 // a new reading may show that a daemon is gone
 	for name, heartbeat := range heartbeats {
-		if seen, known := e.heartbeats[name]; stale || seen.heartbeat != heartbeat {
-			e.heartbeats[name] = observedHeartbeat{heartbeat: heartbeat, seenAt: e.heartbeatsAt, advanced: known && seen.heartbeat != heartbeat}
+		seen, known := e.heartbeats[name]
+		switch {
+		case known && restored && !stale:
+			seen.heartbeat = heartbeat
+			e.heartbeats[name] = seen
+		case stale || seen.heartbeat != heartbeat:
+			e.heartbeats[name] = observedHeartbeat{heartbeat: heartbeat, seenAt: e.heartbeatsAt, advanced: known && !restored && seen.heartbeat != heartbeat}
 		}
 	}
-	for name := range e.heartbeats {
-		if _, present := heartbeats[name]; !present {
+	for name, seen := range e.heartbeats {
+		if _, present := heartbeats[name]; !present && e.silence(now, seen) >= e.settings.HeartbeatTimeout {
 			delete(e.heartbeats, name)
 		}
 	}
@@ -450,10 +505,24 @@
 	return out
 }
 
+// registration returns this daemon's registration in the present era.
+func (e *Elector) registration() Host {
+	host := e.settings.Self
+	host.Era, host.HeldLease = e.revision.Era, e.era.heldLease
+	return host
+}
+
 // registered reports whether the rows contain this daemon's registration, of
-// this incarnation and not revoked.
+// this incarnation and era and not revoked.
 func (e *Elector) registered() bool {
-	return e.hosts[e.settings.Self.Name] == e.settings.Self
+	return e.registrations[e.settings.Self.Name] == e.registration()
+}
+
+// holdsLeases reports whether this daemon may hold primary leases: it is registered, or
+// was before the store was restored, and knows all changes of primaries of earlier eras.
+func (e *Elector) holdsLeases() bool {
+	_, remembered := e.era.remembered[e.settings.Self.Name]
+	return e.haveRows && !e.leaving && (e.registered() || e.era.heldLease && remembered) && (e.era.heldLease || e.recovered())
 }
 
 // Tick runs the steps that are due.
@@ -467,6 +536,7 @@
 	if !e.haveRows {
 		return
 	}
+	e.recoverRows(now)
 	e.register(now)
 	e.expireRegistrations(now)
 	for _, name := range slices.Sorted(maps.Keys(e.groups)) {
@@ -484,7 +554,7 @@
 	}
 	e.registering = true
 	e.registerDue = now + retryInterval
-	row := encode(hostPrefix+e.settings.Self.Name, e.settings.Self)
+	row := encode(hostPrefix+e.settings.Self.Name, e.registration())
 	e.write(Transaction{Set: []Row{row}}, func(_ timekeeper.Millis, result Result, _ Revision) {
 		e.registering = false
 		e.log("registration", observer.F("result", result.String()))
@@ -531,7 +601,7 @@
 // leaseOf returns this daemon's lease on a group's primary.
 func (e *Elector) leaseOf(now timekeeper.Millis, g *group) PrimaryLease {
 	lease := PrimaryLease{Server: g.primary(), Term: g.record.Term, History: g.record.History}
-	if e.haveRows && e.registered() && !e.leaving {
+	if e.holdsLeases() {
 		lease.ValidUntil = e.readAt + e.settings.LeaseDuration
 	}
 	if g.record.ChangeReason == "" || g.rejectedChange == g.record.ChangeNumber && g.record.Successor == "" {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -95,11 +95,11 @@
 	e := newElector(1000,
 		elector.Row{Key: "host/b9", Version: 3, Value: []byte(`{"name":"b9","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)},
 		elector.Row{Key: "host/c1", Version: 3, Value: []byte(`{"name":"c1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)})
-	e.SetHeartbeats(1000, 1000, map[string]elector.Heartbeat{"b9": {Count: 1}, "c1": {Count: 1}})
+	e.SetHeartbeats(1000, 1000, 0, map[string]elector.Heartbeat{"b9": {Count: 1}, "c1": {Count: 1}})
 	if got := e.DomainReaderAddress(1500); got != "" {
 		t.Errorf("domain reader %q before its heartbeat was seen to change, want this daemon", got)
 	}
-	e.SetHeartbeats(2000, 2000, map[string]elector.Heartbeat{"b9": {Count: 2}, "c1": {Count: 2}})
+	e.SetHeartbeats(2000, 2000, 0, map[string]elector.Heartbeat{"b9": {Count: 2}, "c1": {Count: 2}})
 	if got := e.DomainReaderAddress(2000); got != "10.0.0.9:1" {
 		t.Errorf("domain reader %q, want the live daemon of the same failure domain", got)
 	}
@@ -170,7 +170,7 @@
 					if test.age != nil && now > 2000 {
 						readAt -= test.age(now)
 					}
-					e.SetHeartbeats(now, readAt, map[string]elector.Heartbeat{"d1": {Incarnation: 1, Count: count}})
+					e.SetHeartbeats(now, readAt, 0, map[string]elector.Heartbeat{"d1": {Incarnation: 1, Count: count}})
 				}
 			}
 			if len(got) > 0 != test.wantRevoked {
@@ -188,7 +188,7 @@
 	e := newElector(1000,
 		elector.Row{Key: "host/d1", Version: 3, Value: []byte(`{"name":"d1","domain":"a","incarnation":1,"address":"10.0.0.9:1"}`)},
 		elector.Row{Key: "host/d2", Version: 3, Value: []byte(`{"name":"d2","domain":"b","incarnation":1,"address":"10.0.1.9:1"}`)})
-	e.SetHeartbeats(1000, 1000, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
+	e.SetHeartbeats(1000, 1000, 0, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
 	if got := len(e.LiveHosts(2000)); got != 3 {
 		t.Errorf("live hosts: got %d, want 3", got)
 	}
@@ -196,7 +196,7 @@
 		t.Errorf("live hosts with stale heartbeats: got %d, want the 2 of the failure domain", got)
 	}
 	for now := timekeeper.Millis(12_000); now <= 21_000; now += 3000 {
-		e.SetHeartbeats(now, now, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
+		e.SetHeartbeats(now, now, 0, map[string]elector.Heartbeat{"d1": {Count: 1}, "d2": {Count: 1}})
 	}
 	if got := len(e.LiveHosts(21_000)); got != 1 {
 		t.Errorf("live hosts after the others' heartbeats ended: got %d, want 1", got)
--- a/elector/group.go
+++ b/elector/group.go
@@ -21,10 +21,12 @@
 	// initialPrimary is the primary until the group has a primary record: the
 	// server that is registered as one.
 	initialPrimary string
-	// record is the group's primary record, and recordVersion its row's
-	// version; both are zero if there is none.
+	// record is the newest known primary record of the group, and recordVersion the
+	// version of its row; both are zero if there is none.
 	record        PrimaryRecord
 	recordVersion int64
+	// recordLost is set if the stored record is older, since the store was restored.
+	recordLost bool
 	// announced is when this daemon first saw the change under way.
 	announced timekeeper.Millis
 	// releasedChange is the last change for which this daemon released the
@@ -43,10 +45,10 @@
 
 	// change is the change that this daemon coordinates.
 	change change
-	// ownWriteVersion is the store's version after this daemon's last write of
-	// the record, or 0 once the rows read have reached it. lastFinishedChange
+	// ownWrite is the store's revision after this daemon's last write of the
+	// record, or zero once the rows read have reached it. lastFinishedChange
 	// is the last change that this daemon completed or cancelled.
-	ownWriteVersion    int64
+	ownWrite           Revision
 	lastFinishedChange int64
 	// cancelBackoffUntil is the time before which this daemon announces no new
 	// change after it cancelled one.
@@ -68,8 +70,11 @@
 	return g.initialPrimary
 }
 
-// setRecord decodes the group's primary record if its version has changed. It
-// fails if the row can't be decoded.
+// unknownVersion is the version of a row that has to be decoded again.
+const unknownVersion = -1
+
+// setRecord decodes the group's primary record if its version has changed. It keeps a
+// known record that is newer, and fails if the row can't be decoded.
 func (g *group) setRecord(now timekeeper.Millis, e *Elector, row Row) error {
 	if row.Version == g.recordVersion {
 		return nil
@@ -78,10 +83,16 @@
 	if err != nil {
 		return err
 	}
+	if record.Before(g.record) {
+		g.recordVersion, g.recordLost = row.Version, true
+		e.log("the stored record is older", observer.F("group", g.name), observer.F("term", record.Term), observer.F("number", record.ChangeNumber),
+			observer.F("have", g.record.ChangeNumber), observer.F("version", row.Version))
+		return nil
+	}
 	if record.ChangeReason != "" && (g.record.ChangeReason == "" || g.record.ChangeNumber != record.ChangeNumber) {
 		g.announced = now
 	}
-	g.record, g.recordVersion = record, row.Version
+	g.record, g.recordVersion, g.recordLost = record, row.Version, false
 	e.log("reign", observer.F("group", g.name), observer.F("primary", record.Primary), observer.F("term", record.Term),
 		observer.F("change", string(record.ChangeReason)), observer.F("number", record.ChangeNumber), observer.F("version", row.Version))
 	return nil
@@ -122,7 +133,10 @@
 	}
 	g.ackPending = true
 	g.ackDue = now + retryInterval
-	ack := Ack{Incarnation: e.settings.Self.Incarnation, ChangeNumber: number, Rejects: g.rejectedChange == number, HighestPosition: health.HighestPosition}
+	ack := Ack{
+		Incarnation: e.settings.Self.Incarnation, ChangeNumber: number, Rejects: g.rejectedChange == number, HighestPosition: health.HighestPosition,
+		Complete: e.knowsHosts(now), Absent: e.absentHosts(),
+	}
 	e.write(Transaction{Set: []Row{encode(ackPrefix+g.name+"/"+e.settings.Self.Name, ack)}}, func(_ timekeeper.Millis, result Result, _ Revision) {
 		g.ackPending = false
 		if result == Applied {
@@ -132,12 +146,12 @@
 }
 
 // mayReject reports whether this daemon may go on using the primary in spite of
-// the change under way: the primary counts as failed, no successor is recorded
-// yet, and the change waits for this daemon because this daemon was registered
+// the change under way: the primary counts as failed, the change can still be
+// cancelled, and it waits for this daemon because this daemon was registered
 // when the change was announced.
 func (e *Elector) mayReject(g *group) bool {
 	registrationVersion := e.rows[hostPrefix+e.settings.Self.Name].Version
-	return g.record.ChangeReason == ReasonFailure && g.record.Successor == "" && registrationVersion > 0 && registrationVersion < g.recordVersion
+	return g.record.ChangeReason == ReasonFailure && e.cancellable(g) && registrationVersion > 0 && registrationVersion < g.recordVersion
 }
 
 // probeTimeout is how long after the announcement this daemon waits for the
--- a/elector/revoke.go
+++ b/elector/revoke.go
@@ -21,15 +21,20 @@
 // daemon by name does this, and not while the heartbeats that it has read are
 // stale.
 func (e *Elector) expireRegistrations(now timekeeper.Millis) {
-	if e.leaving || !e.registered() || now < e.expireDue || e.HeartbeatsStale(now) || !e.isFirstLive(now) {
+	if e.leaving || !e.registered() || !e.recovered() || now < e.expireDue || e.HeartbeatsStale(now) || !e.isFirstLive(now) {
 		return
 	}
 	e.expireDue = now + e.settings.HeartbeatInterval/2
-	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
-		host, row := e.hosts[name], e.rows[hostPrefix+name]
+	for _, name := range slices.Sorted(maps.Keys(e.registrations)) {
+		host, row := e.registrations[name], e.rows[hostPrefix+name]
 		if name == e.settings.Self.Name {
 			continue
 		}
+		if row.Version == e.era.deregistered[name] {
+			e.log("registration deleted: it was before the store was restored", observer.F("host", name))
+			e.write(Transaction{Expect: []Row{{Key: row.Key, Version: row.Version}}, Delete: []string{row.Key}}, func(timekeeper.Millis, Result, Revision) {})
+			continue
+		}
 		if !host.Revoked {
 			if seen, found := e.heartbeats[name]; found && e.silence(now, seen) > e.settings.HeartbeatTimeout {
 				host.Revoked = true
--- a/elector/row.go
+++ b/elector/row.go
@@ -72,9 +72,10 @@
 }
 
 // Row keys. "host/" is followed by the daemon's name, "reign/" by the group's,
-// and "ack/" by the group's, a slash and the daemon's.
+// "ack/" by the group's, a slash and the daemon's, and "era/" by the number of an era.
 const (
 	hostPrefix     = "host/"
+	eraPrefix      = "era/"
 	recordPrefix   = "reign/"
 	ackPrefix      = "ack/"
 	coordinatorKey = "duty"
@@ -92,6 +93,11 @@
 	// Revoked is set after the daemon's heartbeats have stopped. A daemon that
 	// is live registers again before it uses a primary.
 	Revoked bool `json:"retired,omitempty"`
+	// Era is the store's era in which the daemon registered. A daemon registers again
+	// in each era.
+	Era int64 `json:"era,omitempty"`
+	// HeldLease is set if the daemon held a primary lease when that era began.
+	HeldLease bool `json:"held,omitempty"`
 }
 
 // Heartbeat is the latest heartbeat of a daemon.
@@ -142,6 +148,12 @@
 	// HighestPosition is the highest position that the primary reported to the
 	// daemon.
 	HighestPosition sequencer.Position `json:"seen"`
+	// Complete is set if Absent and the registrations in the store include all daemons
+	// that may hold a lease, as far as the daemon can know.
+	Complete bool `json:"complete,omitempty"`
+	// Absent lists the daemons that registered before the store was restored and whose
+	// registrations it has lost.
+	Absent []string `json:"absent,omitempty"`
 }
 
 // Coordinator names the failover coordinator: the daemon that runs primary
@@ -154,6 +166,11 @@
 	FencingToken int64 `json:"fence"`
 }
 
+// recovery names the daemon that recovered the rows of an era.
+type recovery struct {
+	Host string `json:"host"`
+}
+
 // decode unmarshals a row's value. It fails with an Error of KindInvalid.
 func decode[T any](row Row) (T, error) {
 	var value T
--- a/proxier/harness_test.go
+++ b/proxier/harness_test.go
@@ -7,10 +7,12 @@
 	"maps"
 	"math/rand"
 	"slices"
+	"strconv"
 
 	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/elector"
 	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -276,7 +278,9 @@
 	host := elector.Host{Name: d.name, Domain: "x", Incarnation: d.incarnation}
 	settings := DefaultSettings(host)
 	settings.Elector.LeaseDuration = sim.leaseDuration
-	d.logic = newCore(settings, multiplexer.Deps{}, elector.Deps{})
+	d.logic = newCore(settings, multiplexer.Deps{}, elector.Deps{Log: func(decision observer.Decision) {
+		sim.logEvent("%s: %s %v", d.name, decision.Outcome, decision.Inputs)
+	}})
 	catalog := cataloger.New(1, []cataloger.Database{
 		{Name: "primary", Group: testGroup, Consistency: cataloger.ConsistencyPrimary, Timeout: 800},
 		{Name: "session", Group: testGroup, Consistency: cataloger.ConsistencySession, MaxAge: 2500, Timeout: 800, Rank: 1},
@@ -398,16 +402,17 @@
 	}
 	if writes {
 		sim.revision.Version++
-		sim.rows["beat/"+d.name] = elector.Row{Version: sim.revision.Version}
+		sim.rows["beat/"+d.name] = elector.Row{Version: sim.revision.Version, Value: strconv.AppendInt(nil, int64(sim.Now()), 10)}
 		d.watermarks.add(sim.Now(), sim.revision)
 	}
-	all, _ := sim.readStore()
+	all, revision := sim.readStore()
 	heartbeats := map[string]elector.Heartbeat{}
 	for _, row := range tableRows(all, "beat/") {
-		heartbeats[row.Key] = elector.Heartbeat{Count: row.Version}
+		count, _ := strconv.ParseInt(string(row.Value), 10, 64) // the simulation wrote it
+		heartbeats[row.Key] = elector.Heartbeat{Count: count}
 	}
-	readAt := sim.Now() - sim.readLag
-	sim.deliver(d, func() { d.logic.elector.SetHeartbeats(sim.Now(), readAt, heartbeats) })
+	readAt, era := sim.Now()-sim.readLag, revision.Era
+	sim.deliver(d, func() { d.logic.elector.SetHeartbeats(sim.Now(), readAt, era, heartbeats) })
 }
 
 // transact runs a transaction at the store.
--- a/proxier/heartbeat.go
+++ b/proxier/heartbeat.go
@@ -168,7 +168,7 @@
 		}
 	}
 	p.withElector(func(now timekeeper.Millis) []elector.Command {
-		p.elector.SetHeartbeats(now, snapshot.readAt, heartbeats)
+		p.elector.SetHeartbeats(now, snapshot.readAt, snapshot.Era, heartbeats)
 		return nil
 	})
 	return nil
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -133,13 +133,65 @@
 			12_000: func(sim *simulation) { sim.storeDown = true },
 			13_000: func(sim *simulation) { sim.storeDown = false; sim.restoreStore(11_000) },
 			14_000: func(sim *simulation) { sim.failedBefore = sim.failed },
-			25_000: func(sim *simulation) {
-				if failed := sim.failed - sim.failedBefore; failed > 0 {
-					sim.violation("%d operations failed after the restore, want none", failed)
-				}
+			25_000: func(sim *simulation) { sim.checkFailures(0) },
+		},
+		leaseDuration: longLease, wantPrimary: "s0", deadline: 25_100,
+	},
+	"leases that ended before the restore are renewed after it": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			10_000: func(sim *simulation) { sim.storeDown = true },
+			27_000: func(sim *simulation) { sim.storeDown = false; sim.restoreStore(21_000) },
+			28_000: func(sim *simulation) { sim.failedBefore = sim.failed },
+			39_000: func(sim *simulation) { sim.checkFailures(0) },
+		},
+		leaseDuration: longLease, wantPrimary: "s0", deadline: 39_100,
+	},
+	"daemons that all start after the restore find the primary of a lost change": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			faultStart: func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
+			11_000:     func(sim *simulation) { sim.storeDown = true; sim.killAll() },
+			12_000:     func(sim *simulation) { sim.servers[0].down = false },
+			13_000:     func(sim *simulation) { sim.storeDown = false; sim.restoreStore(9500); sim.startAll() },
+			17_000:     func(sim *simulation) { sim.servers[0].primary = false },
+		},
+		leaseDuration: longLease, deadline: 25_000,
+	},
+	"a daemon that starts before the others see the new era does not use a replaced primary": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			faultStart: func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
+			10_900: func(sim *simulation) {
+				sim.kill(sim.daemons[2])
+				sim.daemons[0].storeUnreachable, sim.daemons[1].storeUnreachable = true, true
+			},
+			11_000: func(sim *simulation) { sim.servers[0].down = false; sim.restoreStore(8500); sim.start(sim.daemons[2]) },
+			16_000: func(sim *simulation) {
+				sim.daemons[0].storeUnreachable, sim.daemons[1].storeUnreachable = false, false
 			},
 		},
-		wantPrimary: "s0", deadline: 25_100,
+		leaseDuration: longLease, deadline: 25_000,
+	},
+	"a daemon that is frozen through a restore does not use a replaced primary": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			10_000: func(sim *simulation) { sim.daemons[2].frozenUntil = 13_500; sim.storeDown = true },
+			11_000: func(sim *simulation) { sim.storeDown = false; sim.restoreStore(9500) },
+			11_500: func(sim *simulation) { sim.servers[0].leaving = true },
+		},
+		leaseDuration: longLease, deadline: 30_000,
+	},
+	"the failover coordinator is killed at a restore during a primary change": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			9000:   func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
+			10_000: func(sim *simulation) { sim.killCoordinator(); sim.restoreStore(4000) },
+		},
+		deadline: 22_000,
+	},
+	"two restores in a row": {
+		faults: map[timekeeper.Millis]func(sim *simulation){
+			10_000: func(sim *simulation) { sim.restoreStore(8000) },
+			10_700: func(sim *simulation) { sim.restoreStore(5000) },
+			11_500: func(sim *simulation) { sim.servers[0].leaving = true },
+		},
+		leaseDuration: longLease, maxPause: 1500, deadline: 13_000 + promotionTime,
 	},
 	"a primary change that a restored store has lost is not undone": {
 		faults: map[timekeeper.Millis]func(sim *simulation){
@@ -159,6 +211,19 @@
 	},
 }
 
+// longLease is a lease duration that exceeds the time between two heartbeats, so that
+// leases do not end without a fault.
+const longLease timekeeper.Millis = 14_000
+
+// checkFailures checks how many operations have failed since failedBefore was saved.
+func (sim *simulation) checkFailures(most int) {
+	if failed := sim.failed - sim.failedBefore; failed > most {
+		sim.violation("%d operations failed after the restore, want %d at most", failed, most)
+	}
+}
+
+// TestChangesOfPrimary guards against primaries that are replaced too late, twice or
+// without need, and against long pauses.
 func TestChangesOfPrimary(t *testing.T) {
 	runScenarios(t, primaryChangeScenarios)
 }
@@ -236,6 +301,20 @@
 	return best
 }
 
+// killAll kills all daemons.
+func (sim *simulation) killAll() {
+	for _, d := range sim.daemons {
+		sim.kill(d)
+	}
+}
+
+// startAll starts all daemons again.
+func (sim *simulation) startAll() {
+	for _, d := range sim.daemons {
+		sim.start(d)
+	}
+}
+
 // killCoordinator kills the failover coordinator and starts it again after 6 s.
 func (sim *simulation) killCoordinator() {
 	for _, d := range sim.daemons {
