Recover the rows of an era in the order of the daemons' names

Cause: the only daemon that held a lease waited a second for the first live one by name, which had just started and could not recover the rows.

Change: each daemon that held a lease tries, 20 ms apart in the order of names; the first write wins and the others find the era recovered.

TestStoreRestored passes.

--- a/elector/era.go
+++ b/elector/era.go
@@ -40,8 +40,10 @@
 	// maxRecoveredRecords is how many primary records a recovery writes. The store
 	// limits the entries of a transaction.
 	maxRecoveredRecords = 40
-	// recoveryDelay is how long the daemons leave the recovery to the first live one.
-	recoveryDelay timekeeper.Millis = 1000
+	// recoveryStep is the delay between the attempts of two daemons, in the order of
+	// their names, to recover the rows, and maxRecoveryDelay that of the last one.
+	recoveryStep     timekeeper.Millis = 20
+	maxRecoveryDelay timekeeper.Millis = 1000
 	// verificationDelay is how long daemons without a lease wait for one that held a
 	// lease to recover the rows, and the time between two verifications.
 	verificationDelay timekeeper.Millis = 1500
@@ -113,10 +115,8 @@
 	}
 	clear(e.revocations)
 	e.era = next
-	e.era.due = now
-	if !e.isFirstLive(now) {
-		e.era.due = now + recoveryDelay
-	}
+	rank, _ := slices.BinarySearch(slices.Sorted(maps.Keys(e.hosts)), e.settings.Self.Name)
+	e.era.due = now + min(timekeeper.Millis(rank)*recoveryStep, maxRecoveryDelay)
 }
 
 // rememberHosts adds the remembered daemons to the registered ones.
