Give live daemons time for a heartbeat after the store was restored

Cause: the first reading of an era isn't compared with the one before, since a copy may show older heartbeats. After two restores in 7 s the last heartbeat seen was older than HeartbeatTimeout, though the daemon wrote in between. Class: rows of a restored store judged by what was known of the earlier one.

Change: at the first reading of an era, daemons that were live by the last one count as live for one and a half heartbeat intervals.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -390,16 +390,19 @@
 // SetHeartbeats records a reading of the heartbeats of all daemons by name, which
 // is current as of readAt and of an era of the store. A heartbeat that changed counts
 // as seen at that time. If the previous reading is stale, all count as seen then, since
-// it is unknown when they last changed. The first reading of an era shows older
-// heartbeats again, which are no sign of life. Daemons whose heartbeat is missing are
-// forgotten once they have been silent for HeartbeatTimeout. A reading that is not newer
-// than the previous one is ignored.
+// it is unknown when they last changed. The first reading of an era may show older
+// heartbeats again: daemons that were live get the time to write another one. Daemons
+// whose heartbeat is missing are forgotten once they have been silent for
+// HeartbeatTimeout. A reading that is not newer than the previous one is ignored.
 func (e *Elector) SetHeartbeats(now, readAt timekeeper.Millis, era int64, heartbeats map[string]Heartbeat) {
 	if readAt <= e.heartbeatsAt || era < e.heartbeatsEra {
 		return
 	}
 	stale := readAt-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
 	restored := era > e.heartbeatsEra
+	if restored && !stale {
+		e.keepLive(readAt)
+	}
 	e.heartbeatsAt, e.heartbeatsEra = min(readAt, now), era
 	e.expireDue = 0 // a new reading may show that a daemon is gone
 	for name, heartbeat := range heartbeats {
@@ -419,6 +422,18 @@
 	}
 }
 
+// keepLive lets the daemons that are live by the last reading of the heartbeats count as
+// live after readAt for one and a half heartbeat intervals.
+func (e *Elector) keepLive(readAt timekeeper.Millis) {
+	grace := e.settings.HeartbeatInterval + e.settings.HeartbeatInterval/2
+	for name, seen := range e.heartbeats {
+		if e.heartbeatsAt-seen.seenAt < e.settings.HeartbeatTimeout {
+			seen.seenAt = max(seen.seenAt, readAt-e.settings.HeartbeatTimeout+grace)
+			e.heartbeats[name] = seen
+		}
+	}
+}
+
 // silence returns for how long a daemon's heartbeat has not changed, as far as
 // the readings show. While they are stale, their age is added.
 func (e *Elector) silence(now timekeeper.Millis, seen observedHeartbeat) timekeeper.Millis {
