--- a/proxier/grace_test.go
+++ b/proxier/grace_test.go
@@ -8,6 +8,42 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
+// TestLeavingServerStaysLeaving guards against new work for a server that leaves, because
+// a restored store shows an older registration of it.
+func TestLeavingServerStaysLeaving(t *testing.T) {
+	tests := map[string]struct {
+		reads []cataloger.Server
+		want  bool
+	}{
+		"ready again in a restored store": {[]cataloger.Server{{Started: 5, Leaving: true}, {Started: 5}, {Started: 5}}, true},
+		"started again under its ID":      {[]cataloger.Server{{Started: 5, Leaving: true}, {Started: 6}}, false},
+		"its start is unknown":            {[]cataloger.Server{{Leaving: true}, {}}, false},
+		"never leaving":                   {[]cataloger.Server{{Started: 5}, {Started: 5}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var g registrationGrace
+			var got []cataloger.Server
+			for i, server := range test.reads {
+				server.ID = "a"
+				got = g.merge(timekeeper.Millis(1000*i), []cataloger.Server{server}, 2500)
+			}
+			if len(got) != 1 || got[0].Leaving != test.want {
+				t.Errorf("got %+v, want leaving: %v", got, test.want)
+			}
+		})
+	}
+	t.Run("gone in between", func(t *testing.T) {
+		var g registrationGrace
+		g.merge(0, []cataloger.Server{{ID: "a", Started: 5, Leaving: true}}, 2500)
+		g.merge(4000, nil, 2500)
+		g.merge(8000, nil, 2500)
+		if got := g.merge(9000, []cataloger.Server{{ID: "a", Started: 5}}, 2500); !got[0].Leaving {
+			t.Errorf("got %+v, want a leaving server", got)
+		}
+	})
+}
+
 // TestRegistrationGrace guards against dropping all servers after a store outage:
 // their registrations expire during it, and live servers register again within 2 s.
 func TestRegistrationGrace(t *testing.T) {
