--- a/cmd/heatherhall-edge/main.go
+++ b/cmd/heatherhall-edge/main.go
@@ -17,6 +17,15 @@
 	"github.com/heatherhall/heatherhall/platform"
 )
 
+// sighups receives SIGHUP from before main on, since the signal would end the process.
+var sighups = notifySIGHUP()
+
+func notifySIGHUP() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 func main() {
 	runtime.GOMAXPROCS(1) // a host has only a share of one core
 	root := &cli.Command{
@@ -48,8 +57,6 @@
 func serve(ctx context.Context, c *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
 	reload := make(chan struct{})
 	go func() {
 		for range sighups {
