--- a/elector/change.go
+++ b/elector/change.go
@@ -336,6 +336,9 @@
 			tx.Delete = append(tx.Delete, hostPrefix+name)
 		}
 	}
+	if len(tx.Delete) == 0 {
+		return
+	}
 	e.write(tx, func(_ timekeeper.Millis, result Result, _ Revision) {
 		e.log("expired registrations deleted", observer.F("result", result.String()))
 	})
--- a/elector/era_test.go
+++ b/elector/era_test.go
@@ -242,3 +242,149 @@
 		})
 	}
 }
+
+// ackWrites returns the acks that commands write, and the IDs of these writes.
+func ackWrites(commands []elector.Command) (acks []string, ids []uint64) {
+	for _, command := range commands {
+		if write, ok := command.(elector.Write); ok && len(write.Tx.Set) == 1 && write.Tx.Set[0].Key == "ack/g/d0" {
+			acks, ids = append(acks, string(write.Tx.Set[0].Value)), append(ids, write.ID)
+		}
+	}
+	return acks, ids
+}
+
+// TestAckAfterRestore guards against a change that waits for an Ack which the store has
+// lost, against one that is cancelled although its successor may be lost, and against a
+// daemon that nobody waits for because the store has forgotten it.
+func TestAckAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		// finishedAt is when the write of the first Ack finishes; the era begins at 2000.
+		finishedAt timekeeper.Millis
+		responds   bool
+	}{
+		"acknowledged before the restore":             {finishedAt: 1500},
+		"acknowledged before, answered after":         {finishedAt: 2500},
+		"rejected before the restore":                 {finishedAt: 1500, responds: true},
+		"rejected before the restore, answered after": {finishedAt: 2500, responds: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			health := elector.PrimaryHealth{UnresponsiveSince: 1, Quiesced: true}
+			if test.responds {
+				health = elector.PrimaryHealth{LastResponse: 1000, Quiesced: true}
+			}
+			e := elector.New(elector.DefaultSettings(self), elector.Deps{PrimaryHealth: func(string, string) elector.PrimaryHealth { return health }})
+			e.SetServers(1000, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
+			rows := []elector.Row{row("host/d0", 2, firstEraHost), row("reign/g", 30, changing5)}
+			forgotten := row("host/d7", 31, strings.ReplaceAll(otherHost, "d1", "d7"))
+			acks, ids := ackWrites(e.SetRows(1000, 1000, append(rows, forgotten), elector.Revision{Era: 1, Version: 80}))
+			if len(acks) != 1 || strings.Contains(acks[0], "objects") != test.responds {
+				t.Fatalf("acks %v, want one that rejects: %v", acks, test.responds)
+			}
+			health.LastResponse *= 2
+			acks = nil
+			for now := timekeeper.Millis(1500); now <= 4000; now += 100 {
+				var commands []elector.Command
+				if now == 2000 {
+					commands = e.SetRows(now, now, rows, elector.Revision{Era: 2, Version: 40})
+				}
+				if now == test.finishedAt {
+					commands = append(commands, e.WriteFinished(now, ids[0], elector.Applied, elector.Revision{Era: 1, Version: 81})...)
+				}
+				later, _ := ackWrites(append(commands, e.Tick(now)...))
+				acks = append(acks, later...)
+			}
+			if len(acks) != 1 || strings.Contains(acks[0], "objects") {
+				t.Fatalf("acks after the restore: %v, want one that releases the primary", acks)
+			}
+			if !strings.Contains(acks[0], `"complete":true,"absent":["d7"]`) {
+				t.Errorf("ack %s, want the forgotten daemon d7 in it", acks[0])
+			}
+		})
+	}
+}
+
+// TestChangeWaitsAfterRestore guards against a promotion while a daemon that the store has
+// forgotten still uses the old primary.
+func TestChangeWaitsAfterRestore(t *testing.T) {
+	const (
+		announced = `{"term":4,"primary":"s0","number":1048577,"change":"failure"}`
+		duty      = `{"holder":"d0","fence":1048577}`
+		joined    = `{"name":"d1","domain":"a","incarnation":1,"address":"10.0.0.9:1","era":2}`
+	)
+	ack := func(fields string) string { return `{"incarnation":1,"number":1048577` + fields + `}` }
+	tests := map[string]struct {
+		// known are the rows of the first era; nil for a daemon that starts.
+		known       []elector.Row
+		record, ack string
+		want        bool
+	}{
+		"all daemons have released the primary": {known: []elector.Row{row("host/d1", 3, otherHost)}, record: announced, ack: ack(`,"complete":true`), want: true},
+		"a daemon is remembered by another":     {known: []elector.Row{row("host/d1", 3, otherHost)}, record: announced, ack: ack(`,"complete":true,"absent":["d7"]`)},
+		"a daemon is remembered":                {known: []elector.Row{row("host/d1", 3, otherHost), row("host/d7", 3, strings.ReplaceAll(otherHost, "d1", "d7"))}, record: announced, ack: ack("")},
+		"nobody remembers the daemons":          {record: announced, ack: ack("")},
+		"another remembers the daemons":         {record: announced, ack: ack(`,"complete":true`), want: true},
+		"the record is not written back yet": {
+			known: []elector.Row{row("host/d1", 3, otherHost), row("reign/g", 30, announced)}, record: record4, ack: ack(`,"complete":true`),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := elector.New(elector.DefaultSettings(self), elector.Deps{PrimaryHealth: func(string, string) elector.PrimaryHealth {
+				return elector.PrimaryHealth{UnresponsiveSince: 1, Quiesced: true}
+			}})
+			e.SetServers(1000, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
+			host := strings.Replace(secondEraHost, `,"held":true`, "", 1)
+			if test.known != nil {
+				host = secondEraHost
+				e.SetRows(1000, 1000, append(test.known, row("host/d0", 2, firstEraHost)), elector.Revision{Era: 1, Version: 80})
+			}
+			rows := []elector.Row{
+				row("era/2", 76, `{"host":"d1"}`), row("host/d0", 77, host), row("host/d1", 78, joined), row("duty", 79, duty), row("reign/g", 80, test.record),
+				row("ack/g/d0", 81, strings.Replace(ack(""), `"incarnation":1`, `"incarnation":7`, 1)), row("ack/g/d1", 82, test.ack),
+			}
+			commands := e.SetRows(2000, 2000, rows, elector.Revision{Era: 2, Version: 82})
+			for now := timekeeper.Millis(2100); now < 3000; now += 100 {
+				commands = append(commands, e.Tick(now)...)
+			}
+			got := slices.ContainsFunc(commands, func(c elector.Command) bool {
+				inspect, ok := c.(elector.Inspect)
+				return ok && inspect.Request.Action == elector.ActionStepDown
+			})
+			if got != test.want {
+				t.Errorf("the change goes on: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestRowsOfTheCopy guards against a daemon that has left and is waited for again, and
+// against a failover coordinator that the store has forgotten.
+func TestRowsOfTheCopy(t *testing.T) {
+	e := elector.New(elector.DefaultSettings(self), elector.Deps{PrimaryHealth: func(string, string) elector.PrimaryHealth {
+		return elector.PrimaryHealth{UnresponsiveSince: 1}
+	}})
+	e.SetServers(1000, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
+	known := []elector.Row{row("host/d0", 2, firstEraHost), row("host/d1", 3, otherHost), row("duty", 70, `{"holder":"d1","fence":9}`)}
+	e.SetRows(1000, 1000, known, elector.Revision{Era: 1, Version: 80})
+	e.SetHeartbeats(1000, 1000, 1, map[string]elector.Heartbeat{"d0": {Count: 1}, "d1": {Count: 1}})
+	copied := []elector.Row{
+		row("era/2", 76, `{"host":"d1"}`), row("host/d0", 77, secondEraHost), row("host/d1", 3, otherHost),
+		row("host/d9", 4, strings.ReplaceAll(otherHost, "d1", "d9")), row("duty", 40, `{"holder":"d0","fence":3}`),
+	}
+	commands := e.SetRows(2000, 2000, copied, elector.Revision{Era: 2, Version: 78})
+	e.SetHeartbeats(2100, 2100, 2, map[string]elector.Heartbeat{"d0": {Count: 2}, "d1": {Count: 2}})
+	commands = append(commands, e.Tick(2200)...)
+	var deleted []string
+	for _, command := range commands {
+		if write, ok := command.(elector.Write); ok {
+			deleted = append(deleted, write.Tx.Delete...)
+		}
+	}
+	if deleted = slices.Compact(deleted); !slices.Equal(deleted, []string{"host/d9"}) {
+		t.Errorf("deleted %v, want the registration of d9", deleted)
+	}
+	if set, _ := writes(commands); set["duty"] != "" {
+		t.Errorf("duty %q, want no request while the last coordinator d1 is live", set["duty"])
+	}
+}
--- a/proxier/cache_test.go
+++ b/proxier/cache_test.go
@@ -125,3 +125,28 @@
 		})
 	}
 }
+
+// TestCacheOfAnotherEra guards against versions of different eras of the store that are
+// taken for the same state.
+func TestCacheOfAnotherEra(t *testing.T) {
+	clock := timekeeper.NewVirtual(1000)
+	c := newCache(clock.Clock(), 4500)
+	snapshot := func(era int64, value string) Rows {
+		return Rows{Revision: elector.Revision{Era: era, Version: 5}, Rows: []elector.Row{{Key: "a", Version: 5, Value: []byte(value)}}}
+	}
+	c.set(TableCatalog, snapshot(1, "x"), 1000)
+	_, before := c.snapshot(TableCatalog)
+	c.apply(TableCatalog, Rows{Revision: elector.Revision{Era: 2, Version: 9}, Rows: []elector.Row{{Key: "a", Version: 9, Value: []byte("y")}}}, 1000)
+	if rows, _ := c.snapshot(TableCatalog); string(rows.Rows[0].Value) != "x" {
+		t.Errorf("rows %v after a change of another era, want those of the full read", rows)
+	}
+	c.set(TableCatalog, snapshot(2, "x"), 1000)
+	rows, after := c.snapshot(TableCatalog)
+	if rows.Era != 2 || after == before {
+		t.Errorf("era %d, digest changed: %v, want another digest in era 2", rows.Era, after != before)
+	}
+	c.set(TableCatalog, snapshot(1, "z"), 1000)
+	if rows, _ := c.snapshot(TableCatalog); string(rows.Rows[0].Value) != "x" {
+		t.Errorf("rows %v after a full read of the earlier era, want those of the later one", rows)
+	}
+}
--- a/proxier/scenario_test.go
+++ b/proxier/scenario_test.go
@@ -150,9 +150,8 @@
 		faults: map[timekeeper.Millis]func(sim *simulation){
 			faultStart: func(sim *simulation) { sim.shipLog(); sim.servers[0].down = true },
 			11_000:     func(sim *simulation) { sim.storeDown = true; sim.killAll() },
-			12_000:     func(sim *simulation) { sim.servers[0].down = false },
+			12_000:     func(sim *simulation) { sim.servers[0].down, sim.servers[0].replicationCut = false, true },
 			13_000:     func(sim *simulation) { sim.storeDown = false; sim.restoreStore(9500); sim.startAll() },
-			17_000:     func(sim *simulation) { sim.servers[0].primary = false },
 		},
 		leaseDuration: longLease, deadline: 25_000,
 	},
