--- a/elector/change.go
+++ b/elector/change.go
@@ -49,13 +49,8 @@
 	finalPosition sequencer.Position
 	// highestPosition is the highest position in the daemons' Acks.
 	highestPosition sequencer.Position
-	// statuses are the responses to the current status poll by server ID, and
-	// pending counts the responses that are still missing.
-	statuses map[string]ServerStatus
-	pending  int
-	// pollNumber identifies the current status poll: late responses to an
-	// earlier one are ignored.
-	pollNumber int
+	// poll is the current status poll; late responses to an earlier one are ignored.
+	poll *statusPoll
 	// due is when the current stage runs next, for the first time or as a retry.
 	due timekeeper.Millis
 	// successor is the ID of the chosen server.
@@ -66,6 +61,13 @@
 	confirmSince timekeeper.Millis
 }
 
+// statusPoll is the responses of the servers that may succeed a primary.
+type statusPoll struct {
+	statuses map[string]ServerStatus
+	// pending counts the responses that are missing.
+	pending int
+}
+
 // reasonFor returns why a group's primary should be changed as far as this
 // daemon knows, or "" for no reason.
 func (e *Elector) reasonFor(now timekeeper.Millis, g *group) Reason {
@@ -189,21 +191,21 @@
 		// deletes the unresponsive daemon's registration before long, and the
 		// handover is tried again.
 		e.log("postpones a handover: a daemon is unresponsive", observer.F("group", g.name), observer.F("host", unresponsive))
-		g.change = change{due: now + e.settings.SuspectTimeout, pollNumber: c.pollNumber}
+		g.change = change{due: now + e.settings.SuspectTimeout}
 		return
 	}
-	*c = change{stage: stageCheck, reason: reason, started: now, due: now + 4*retryInterval, pollNumber: c.pollNumber}
+	*c = change{stage: stageCheck, reason: reason, started: now, due: now + 4*retryInterval}
 	e.pollStatus(g, func(now timekeeper.Millis) {
 		if g.change.stage != stageCheck {
 			return
 		}
-		best := mostAdvanced(c.statuses)
+		best := mostAdvanced(c.poll.statuses)
 		health := e.deps.PrimaryHealth(g.name, g.primary())
-		lagging := reason == ReasonHandover && best != "" && c.statuses[best].Received.Offset+maxHandoverLag < health.HighestPosition.Offset
+		lagging := reason == ReasonHandover && best != "" && c.poll.statuses[best].Received.Offset+maxHandoverLag < health.HighestPosition.Offset
 		if best == "" || lagging && now-g.reasonSince < e.settings.CatchUpTimeout/2 {
 			e.log("no server can succeed the primary yet", observer.F("group", g.name), observer.F("reason", string(reason)),
-				observer.F("best", best), observer.F("received", c.statuses[best].Received.String()), observer.F("seen", health.HighestPosition.String()))
-			g.change = change{due: now + retryInterval, pollNumber: c.pollNumber}
+				observer.F("best", best), observer.F("received", c.poll.statuses[best].Received.String()), observer.F("seen", health.HighestPosition.String()))
+			g.change = change{due: now + retryInterval}
 			return
 		}
 		e.announce(now, g, reason)
@@ -230,7 +232,7 @@
 		next.Term = e.deps.PrimaryHealth(g.name, next.Primary).Term
 	}
 	if next.Term == 0 {
-		for _, status := range g.change.statuses {
+		for _, status := range g.change.poll.statuses {
 			next.Term = max(next.Term, status.Term)
 		}
 	}
@@ -405,26 +407,25 @@
 // is not called.
 func (e *Elector) pollStatus(g *group, done func(timekeeper.Millis)) {
 	c := &g.change
-	c.statuses = map[string]ServerStatus{}
-	c.pollNumber++
-	pollNumber, number := c.pollNumber, c.number
+	poll := &statusPoll{statuses: map[string]ServerStatus{}}
+	c.poll = poll
 	var candidates []cataloger.Server
 	for _, s := range e.members(g.name) {
 		if s.ID != g.primary() && !s.Leaving {
 			candidates = append(candidates, s)
 		}
 	}
-	c.pending = len(candidates)
+	poll.pending = len(candidates)
 	for _, s := range candidates {
 		e.inspect(s, InspectRequest{}, func(now timekeeper.Millis, status ServerStatus, err error) {
-			if c.number != number || c.pollNumber != pollNumber {
+			if c.poll != poll {
 				return
 			}
-			c.pending--
+			poll.pending--
 			if err == nil {
-				c.statuses[s.ID] = status
+				poll.statuses[s.ID] = status
 			}
-			if c.pending == 0 {
+			if poll.pending == 0 {
 				done(now)
 			}
 		})
@@ -455,11 +456,11 @@
 			return
 		}
 		c.due = now + minRemaining
-		best := mostAdvanced(c.statuses)
+		best := mostAdvanced(c.poll.statuses)
 		if best == "" {
 			return
 		}
-		status := c.statuses[best]
+		status := c.poll.statuses[best]
 		if status.Primary && status.Term > g.record.Term {
 			c.successor, c.stage, c.confirmSince, c.due = best, stageConfirm, now, now
 			return
--- a/elector/era.go
+++ b/elector/era.go
@@ -111,7 +111,7 @@
 	}
 	for _, g := range e.groups {
 		g.recordVersion, g.ackedChange, g.ownWrite = unknownVersion, 0, Revision{}
-		g.change = change{pollNumber: g.change.pollNumber}
+		g.change = change{}
 	}
 	clear(e.revocations)
 	e.era = next
--- a/elector/era_test.go
+++ b/elector/era_test.go
@@ -388,3 +388,27 @@
 		t.Errorf("duty %q, want no request while the last coordinator d1 is live", set["duty"])
 	}
 }
+
+// TestLateStatusAfterRestore guards against a panic when a server's status arrives after
+// the change that asked for it was ended by a restore.
+func TestLateStatusAfterRestore(t *testing.T) {
+	e := elector.New(elector.DefaultSettings(self), elector.Deps{PrimaryHealth: func(string, string) elector.PrimaryHealth {
+		return elector.PrimaryHealth{UnresponsiveSince: 1}
+	}})
+	e.SetServers(1000, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
+	rows := []elector.Row{row("host/d0", 2, firstEraHost), row("duty", 3, `{"holder":"d0","fence":3}`)}
+	commands := e.SetRows(1000, 1000, rows, elector.Revision{Era: 1, Version: 80})
+	e.SetRows(1100, 1100, rows, elector.Revision{Era: 2, Version: 40})
+	inspects := 0
+	for _, command := range commands {
+		if inspect, ok := command.(elector.Inspect); ok {
+			inspects++
+			if set, _ := writes(e.InspectFinished(1200, inspect.ID, elector.ServerStatus{Term: 1}, nil)); len(set) > 0 {
+				t.Errorf("written %v, want nothing", set)
+			}
+		}
+	}
+	if inspects == 0 {
+		t.Error("no server was asked for its status")
+	}
+}
