Let daemons that start together verify the primaries one after the other

Cause: the rank that spaces the recovery of an era was taken when the daemon knew no other daemon yet, so that after a power loss of all hosts each would have asked each server at once.

Change: the rank is taken from the daemons known when the recovery is due. The result of a write of an earlier era no longer delays the recovery of the next one.

Evidence: TestStoreRestored, TestRandomSchedulesWithRestores and TestModel pass.

--- a/elector/change.go
+++ b/elector/change.go
@@ -148,9 +148,10 @@
 	return e.coordinator.Holder == e.settings.Self.Name && e.coordinator.FencingToken > numberFloor(e.revision.Era)
 }
 
-// acquireCoordinator makes this daemon the failover coordinator if there is
-// none, if it was the last one of an earlier era, if the current one is not registered, or if the current one is not live
-// and a change has been needed or under way for HeartbeatTimeout.
+// acquireCoordinator makes this daemon the failover coordinator if there is none, if it
+// was the last one of an earlier era, if the current one is not registered, or if the
+// current one is not live and a change has been needed or under way for
+// HeartbeatTimeout.
 func (e *Elector) acquireCoordinator(now timekeeper.Millis, g *group) {
 	if e.acquiring || now < e.acquireDue {
 		return
--- a/elector/era.go
+++ b/elector/era.go
@@ -96,7 +96,8 @@
 // enterEra prepares for the rows of a new era, which the revision belongs to. Changes
 // that this daemon coordinates begin again with the collection of Acks.
 func (e *Elector) enterEra(now timekeeper.Millis, rows map[string]Row, revision Revision) {
-	next := eraState{since: now, heldLease: e.holdsLeases() && now < e.readAt+e.settings.LeaseDuration, remembered: maps.Clone(e.hosts), deregistered: map[string]int64{}}
+	next := eraState{since: now, remembered: maps.Clone(e.hosts), deregistered: map[string]int64{}}
+	next.heldLease = e.holdsLeases() && now < e.readAt+e.settings.LeaseDuration
 	if next.heldLease {
 		for key, row := range rows {
 			name, isHost := strings.CutPrefix(key, hostPrefix)
@@ -115,8 +116,12 @@
 	}
 	clear(e.revocations)
 	e.era = next
+}
+
+// recoveryDelay returns how long after the others this daemon tries to recover the rows.
+func (e *Elector) recoveryDelay() timekeeper.Millis {
 	rank, _ := slices.BinarySearch(slices.Sorted(maps.Keys(e.hosts)), e.settings.Self.Name)
-	e.era.due = now + min(timekeeper.Millis(rank)*recoveryStep, maxRecoveryDelay)
+	return min(timekeeper.Millis(rank)*recoveryStep, maxRecoveryDelay)
 }
 
 // rememberHosts adds the remembered daemons to the registered ones.
@@ -152,7 +157,7 @@
 		return
 	}
 	lost := e.lostRecords()
-	if e.recovered() && len(lost) == 0 {
+	if e.recovered() && len(lost) == 0 || now < e.era.since+e.recoveryDelay() {
 		return
 	}
 	if !e.recovered() && !e.era.heldLease && !e.era.verified {
@@ -172,7 +177,9 @@
 	e.era.recovering = true
 	e.write(tx, func(now timekeeper.Millis, result Result, _ Revision) {
 		e.log("rows of an earlier era written back", observer.F("era", era), observer.F("records", len(lost)), observer.F("result", result.String()))
-		e.era.recovering, e.era.due = false, now+retryInterval
+		if e.revision.Era == era {
+			e.era.recovering, e.era.due = false, now+retryInterval
+		}
 		e.commands = append(e.commands, ReloadRows{})
 	})
 }
@@ -217,7 +224,7 @@
 // of primaries. Until all earlier leases have expired, most servers of each group have to
 // respond.
 func (e *Elector) verifyPrimaries(now timekeeper.Millis) {
-	if len(e.serversByID) == 0 || now < e.era.since+verificationDelay && e.mayHoldLease() {
+	if len(e.serversByID) == 0 || now < e.era.since+verificationDelay+e.recoveryDelay() && e.mayHoldLease() {
 		return
 	}
 	e.era.due = now + verificationDelay
