Believe a server's registration that says for 5 s that it no longer leaves

Trace: the daemon saw the primary leaving at 28.850 s and its log never ends that state, though the registration said ready again from 29.9 s on. The other daemons had not read it in between, so the coordinator had no reason for a change.

Change: a contradiction is believed after 5 s; servers write their registrations again within 2 s of a restore, so an older one does not last.

--- a/proxier/grace.go
+++ b/proxier/grace.go
@@ -9,38 +9,59 @@
 
 // registrationGrace keeps backend servers for a grace period after their
 // registrations disappear. Registrations expire while the store is unavailable, and
-// live servers register again once it is back. A server that is leaving stays so until
-// it starts again, also if a restored store shows an older registration.
+// live servers register again once it is back. A server that is leaving stays so for a
+// time if its registration no longer says it: a restored store may show an older one.
 type registrationGrace struct {
 	servers map[string]cataloger.Server
 	// missingSince is when each missing registration was first found missing.
 	missingSince map[string]timekeeper.Millis
-	// departures holds the servers that were seen leaving, by ID.
-	departures map[string]departure
+	// departures holds the servers that were seen leaving, by ID, and contradicted is set
+	// if a registration says otherwise and is not believed yet.
+	departures   map[string]departure
+	contradicted bool
 }
 
-// departure is when a server started that was seen leaving, and when it was last seen so.
+// pending reports whether the merged servers change without a new reading.
+func (g *registrationGrace) pending() bool {
+	return len(g.missingSince) > 0 || g.contradicted
+}
+
+// departure is a server that was seen leaving.
 type departure struct {
+	// started is when the server started.
 	started timekeeper.Millis
-	seenAt  timekeeper.Millis
+	// seenAt is when its registration last said that it leaves, and readySince when the
+	// registration was first found to say otherwise; 0 if it does not.
+	seenAt, readySince timekeeper.Millis
 }
 
-// maxDepartureAge is how long a departure is remembered. It exceeds the age of any copy
-// that a store is restored from.
-const maxDepartureAge timekeeper.Millis = 300_000
+const (
+	// maxDepartureAge is how long a departure is remembered. It exceeds the age of any
+	// copy that a store is restored from.
+	maxDepartureAge timekeeper.Millis = 300_000
+	// maxContradiction is how long a server counts as leaving although its registration
+	// says that it is ready. Servers write theirs again within 2 s of a restore.
+	maxContradiction timekeeper.Millis = 5000
+)
 
-// keepLeaving sets Leaving if the server was seen leaving since it started.
+// keepLeaving sets Leaving if the server was seen leaving since it started, unless its
+// registration has said otherwise for maxContradiction.
 func (g *registrationGrace) keepLeaving(now timekeeper.Millis, s cataloger.Server) cataloger.Server {
-	if s.Started == 0 {
-		return s
-	}
 	seen, known := g.departures[s.ID]
-	s.Leaving = s.Leaving || known && seen.started == s.Started
-	if s.Leaving {
+	switch {
+	case s.Started == 0:
+	case s.Leaving:
 		if g.departures == nil {
 			g.departures = map[string]departure{}
 		}
 		g.departures[s.ID] = departure{started: s.Started, seenAt: now}
+	case known && seen.started == s.Started:
+		if seen.readySince == 0 {
+			seen.readySince = now
+			g.departures[s.ID] = seen
+		}
+		s.Leaving = now-seen.readySince < maxContradiction
+		g.contradicted = g.contradicted || s.Leaving
 	}
 	return s
 }
@@ -50,6 +71,7 @@
 func (g *registrationGrace) merge(now timekeeper.Millis, registrations []cataloger.Server, grace timekeeper.Millis) []cataloger.Server {
 	kept := make(map[string]cataloger.Server, len(registrations))
 	out := make([]cataloger.Server, 0, len(registrations))
+	g.contradicted = false
 	for _, s := range registrations {
 		s = g.keepLeaving(now, s)
 		kept[s.ID] = s
--- a/proxier/registrations.go
+++ b/proxier/registrations.go
@@ -126,13 +126,13 @@
 }
 
 // expireServers removes servers whose registrations have been missing for longer
-// than the grace period.
+// than the grace period, and ends the time for which a server is kept leaving.
 func (p *Proxy) expireServers(ctx context.Context) {
 	for sleep(ctx, expiryInterval.Duration()) {
 		p.mu.Lock()
-		missing := len(p.grace.missingSince) > 0
+		pending := p.grace.pending()
 		p.mu.Unlock()
-		if missing {
+		if pending {
 			p.applyServers()
 		}
 	}
