--- a/elector/era.go
+++ b/elector/era.go
@@ -206,13 +206,13 @@
 	return false
 }
 
-// verification is the responses of all backend servers to the question whether they are
-// primaries.
+// verification holds the responses of all backend servers to the question whether they
+// are primaries.
 type verification struct {
 	era int64
-	// pending counts the responses that are missing, missing the servers of each group
-	// without a status, less those with one.
+	// pending counts the servers that have neither responded nor failed.
 	pending int
+	// missing is, for each group, how many servers more have failed than responded.
 	missing map[string]int
 	// primaries and statuses are the primary of the highest term of each group.
 	primaries map[string]string
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -321,9 +321,9 @@
 }
 
 // feed requests the changes of a table after a revision from the store. It fails if the
-// answer is of another era, in which other changes have the same versions. The long poll is
-// shorter if the last answer brought changes, so that the snapshot in the cache is never
-// much older than feedWait.
+// answer is of another era, in which other changes have the same versions. The long poll
+// is shorter if the last answer brought changes, so that the snapshot in the cache is
+// never much older than feedWait.
 func (p *Proxy) feed(ctx context.Context, watch tableWatch, after elector.Revision) (reading, error) {
 	requestedAt := p.clock.Now()
 	wait := watch.feedWait
