--- a/elector/elector.go
+++ b/elector/elector.go
@@ -95,16 +95,6 @@
 	Log func(observer.Decision)
 }
 
-// observedHeartbeat is a daemon's latest heartbeat and the time from which its
-// age counts; see SetHeartbeats.
-type observedHeartbeat struct {
-	heartbeat Heartbeat
-	seenAt    timekeeper.Millis
-	// advanced is set if the heartbeat was seen to change. Otherwise it may be
-	// the last one of a daemon that no longer runs.
-	advanced bool
-}
-
 // Elector decides for one daemon which servers it may use as primaries, and
 // coordinates primary changes while the daemon is the failover coordinator. Its
 // methods return the commands that the driver executes next. It is not safe for
@@ -265,40 +255,6 @@
 	return e.takeCommands()
 }
 
-// renewLeases renews the primary leases from requestedAt, the time when the rows were
-// requested. Leases of an earlier era are renewed once the daemon has registered in the
-// present one, since the other daemons may not know it before.
-func (e *Elector) renewLeases(requestedAt timekeeper.Millis) {
-	if _, unregistered := e.era.remembered[e.settings.Self.Name]; !unregistered {
-		e.readAt = max(e.readAt, requestedAt)
-	}
-}
-
-// ConfirmUnchanged renews the primary leases from requestedAt, the time of a
-// request that found no row changed.
-func (e *Elector) ConfirmUnchanged(now, requestedAt timekeeper.Millis) []Command {
-	e.renewLeases(requestedAt)
-	e.step(now)
-	return e.takeCommands()
-}
-
-// DomainReaderAddress returns the address of the domain reader: the daemon that
-// reads the store for this daemon's failure domain. It is the domain's first
-// live daemon by name whose heartbeat was seen to change, since the rows read at
-// the start also list daemons that no longer run. The address is empty if this
-// daemon is the domain reader or none is known.
-func (e *Elector) DomainReaderAddress(now timekeeper.Millis) string {
-	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
-		if name == e.settings.Self.Name {
-			return ""
-		}
-		if host := e.hosts[name]; host.Domain == e.settings.Self.Domain && e.heartbeats[name].advanced && e.live(now, name) {
-			return host.Address
-		}
-	}
-	return ""
-}
-
 // ApplyChanges applies the rows that changed up to a revision. Rows that are not
 // newer than the known ones are skipped, and so are all rows of another era than
 // theirs. Leases are not renewed.
@@ -381,99 +337,6 @@
 	return nil
 }
 
-// HeartbeatsStale reports whether the newest reading of the heartbeats is more
-// than two intervals old, so that it is unknown which daemons are live.
-func (e *Elector) HeartbeatsStale(now timekeeper.Millis) bool {
-	return now-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
-}
-
-// SetHeartbeats records a reading of the heartbeats of all daemons by name, which
-// is current as of readAt and of an era of the store. A heartbeat that changed counts
-// as seen at that time. If the previous reading is stale, all count as seen then, since
-// it is unknown when they last changed. The first reading of an era may show older
-// heartbeats again: daemons that were live get the time to write another one. Daemons
-// whose heartbeat is missing are forgotten once they have been silent for
-// HeartbeatTimeout. A reading that is not newer than the previous one is ignored.
-func (e *Elector) SetHeartbeats(now, readAt timekeeper.Millis, era int64, heartbeats map[string]Heartbeat) {
-	if readAt <= e.heartbeatsAt || era < e.heartbeatsEra {
-		return
-	}
-	stale := readAt-e.heartbeatsAt > 2*e.settings.HeartbeatInterval
-	restored := era > e.heartbeatsEra
-	if restored && !stale {
-		e.keepLive(readAt)
-	}
-	e.heartbeatsAt, e.heartbeatsEra = min(readAt, now), era
-	e.expireDue = 0 // a new reading may show that a daemon is gone
-	for name, heartbeat := range heartbeats {
-		seen, known := e.heartbeats[name]
-		switch {
-		case known && restored && !stale:
-			seen.heartbeat = heartbeat
-			e.heartbeats[name] = seen
-		case stale || seen.heartbeat != heartbeat:
-			e.heartbeats[name] = observedHeartbeat{heartbeat: heartbeat, seenAt: e.heartbeatsAt, advanced: known && !restored && seen.heartbeat != heartbeat}
-		}
-	}
-	for name, seen := range e.heartbeats {
-		if _, present := heartbeats[name]; !present && e.silence(now, seen) >= e.settings.HeartbeatTimeout {
-			delete(e.heartbeats, name)
-		}
-	}
-}
-
-// keepLive lets the daemons that are live by the last reading of the heartbeats count as
-// live after readAt for one and a half heartbeat intervals.
-func (e *Elector) keepLive(readAt timekeeper.Millis) {
-	grace := e.settings.HeartbeatInterval + e.settings.HeartbeatInterval/2
-	for name, seen := range e.heartbeats {
-		if e.heartbeatsAt-seen.seenAt < e.settings.HeartbeatTimeout {
-			seen.seenAt = max(seen.seenAt, readAt-e.settings.HeartbeatTimeout+grace)
-			e.heartbeats[name] = seen
-		}
-	}
-}
-
-// silence returns for how long a daemon's heartbeat has not changed, as far as
-// the readings show. While they are stale, their age is added.
-func (e *Elector) silence(now timekeeper.Millis, seen observedHeartbeat) timekeeper.Millis {
-	if e.HeartbeatsStale(now) {
-		return now - seen.seenAt
-	}
-	return e.heartbeatsAt - seen.seenAt
-}
-
-// live reports whether a daemon's latest heartbeat is younger than
-// HeartbeatTimeout.
-func (e *Elector) live(now timekeeper.Millis, host string) bool {
-	seen, found := e.heartbeats[host]
-	return found && e.silence(now, seen) < e.settings.HeartbeatTimeout
-}
-
-// HostsKnown reports whether the registrations and the heartbeats of the daemons
-// have been read.
-func (e *Elector) HostsKnown() bool {
-	return e.haveRows && e.heartbeatsAt > 0
-}
-
-// LiveHosts returns the daemons that are registered and live, by name. While the
-// heartbeats are stale, all daemons of this daemon's failure domain with a known
-// heartbeat count as live too: most partitions separate failure domains, so
-// these daemons reach the same servers.
-func (e *Elector) LiveHosts(now timekeeper.Millis) []Host {
-	var out []Host
-	stale := e.HeartbeatsStale(now)
-	for name, host := range e.hosts {
-		_, known := e.heartbeats[name]
-		assumedLive := known && stale && host.Domain == e.settings.Self.Domain
-		if name == e.settings.Self.Name || e.live(now, name) || assumedLive {
-			out = append(out, host)
-		}
-	}
-	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
-
 // PeerAddresses returns the addresses at which the registered daemons accept
 // other daemons, in the order of the daemons' names. This daemon is included.
 func (e *Elector) PeerAddresses() []string {
@@ -533,13 +396,6 @@
 	return e.registrations[e.settings.Self.Name] == e.registration()
 }
 
-// holdsLeases reports whether this daemon may hold primary leases: it is registered, or
-// was before the store was restored, and knows all changes of primaries of earlier eras.
-func (e *Elector) holdsLeases() bool {
-	_, remembered := e.era.remembered[e.settings.Self.Name]
-	return e.haveRows && !e.leaving && (e.registered() || e.era.heldLease && remembered) && (e.era.heldLease || e.recovered())
-}
-
 // Tick runs the steps that are due.
 func (e *Elector) Tick(now timekeeper.Millis) []Command {
 	e.step(now)
@@ -584,67 +440,3 @@
 	e.write(Transaction{Delete: []string{hostPrefix + e.settings.Self.Name}}, func(timekeeper.Millis, Result, Revision) {})
 	return e.takeCommands()
 }
-
-// PrimaryLeases returns this daemon's lease on the primary of each group, by
-// group name.
-func (e *Elector) PrimaryLeases(now timekeeper.Millis) map[string]PrimaryLease {
-	out := make(map[string]PrimaryLease, len(e.groups))
-	for name, g := range e.groups {
-		out[name] = e.leaseOf(now, g)
-	}
-	return out
-}
-
-// PrimaryLease permits a daemon to use a group's primary until a time.
-type PrimaryLease struct {
-	// Server is the ID of the primary as far as known, even without a valid
-	// lease.
-	Server  string
-	Term    int64
-	History sequencer.History
-	// ValidUntil is when the lease expires, and with it the permission to
-	// return results of this term; 0 for no lease.
-	ValidUntil timekeeper.Millis
-	// Paused is set while a change is under way, unless this daemon has
-	// rejected it and no successor is recorded. Statements wait meanwhile.
-	Paused bool
-	// ResumeAt is when a paused group is expected to have its next primary; 0
-	// if unknown.
-	ResumeAt timekeeper.Millis
-}
-
-// leaseOf returns this daemon's lease on a group's primary.
-func (e *Elector) leaseOf(now timekeeper.Millis, g *group) PrimaryLease {
-	lease := PrimaryLease{Server: g.primary(), Term: g.record.Term, History: g.record.History}
-	if e.holdsLeases() {
-		lease.ValidUntil = e.readAt + e.settings.LeaseDuration
-	}
-	if g.record.ChangeReason == "" || g.rejectedChange == g.record.ChangeNumber && g.record.Successor == "" {
-		return lease
-	}
-	lease.Paused = true
-	lease.ResumeAt = e.resumeAt(now, g)
-	if g.releasedChange == g.record.ChangeNumber {
-		lease.ValidUntil = 0
-	}
-	return lease
-}
-
-// resumeAt returns when the change under way is expected to be over, or 0 for
-// no estimate: once the change has taken more than twice the expected time.
-func (e *Elector) resumeAt(now timekeeper.Millis, g *group) timekeeper.Millis {
-	expected := e.expectedDuration(g)
-	if now-g.announced > 2*expected {
-		return 0
-	}
-	return max(g.announced+expected, now+minRemaining)
-}
-
-// expectedDuration returns how long a change of the group's primary takes: as
-// long as the last one, or InitialChangeDuration.
-func (e *Elector) expectedDuration(g *group) timekeeper.Millis {
-	if g.record.LastChangeDuration > 0 {
-		return g.record.LastChangeDuration
-	}
-	return e.settings.InitialChangeDuration
-}
--- /dev/null
+++ b/elector/successor.go
@@ -0,0 +1,219 @@
+package elector
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/sequencer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// statusPoll is the responses of the servers that may succeed a primary.
+type statusPoll struct {
+	statuses map[string]ServerStatus
+	// pending counts the responses that are missing.
+	pending int
+}
+
+// pollStatus requests the status of every server that may succeed the primary,
+// and calls done once each has responded or failed. Without such a server, done
+// is not called.
+func (e *Elector) pollStatus(g *group, done func(timekeeper.Millis)) {
+	c := &g.change
+	poll := &statusPoll{statuses: map[string]ServerStatus{}}
+	c.poll = poll
+	var candidates []cataloger.Server
+	for _, s := range e.members(g.name) {
+		if s.ID != g.primary() && !s.Leaving {
+			candidates = append(candidates, s)
+		}
+	}
+	poll.pending = len(candidates)
+	for _, s := range candidates {
+		e.inspect(s, InspectRequest{}, func(now timekeeper.Millis, status ServerStatus, err error) {
+			if c.poll != poll {
+				return
+			}
+			poll.pending--
+			if err == nil {
+				poll.statuses[s.ID] = status
+			}
+			if poll.pending == 0 {
+				done(now)
+			}
+		})
+	}
+}
+
+// mostAdvanced returns the ID of the server with the highest received position,
+// or "" if there is none.
+func mostAdvanced(statuses map[string]ServerStatus) string {
+	best := ""
+	for _, id := range slices.Sorted(maps.Keys(statuses)) {
+		if best == "" || statuses[best].Received.Before(statuses[id].Received) {
+			best = id
+		}
+	}
+	return best
+}
+
+// chooseSuccessor chooses the server with the highest received position, once
+// it has received everything that is known to be committed or CatchUpTimeout
+// has passed. A server that is already the primary of a newer term is chosen at
+// once.
+func (e *Elector) chooseSuccessor(now timekeeper.Millis, g *group) {
+	c := &g.change
+	c.due = now + 4*retryInterval
+	e.pollStatus(g, func(now timekeeper.Millis) {
+		if g.change.stage != stageChoose {
+			return
+		}
+		c.due = now + minRemaining
+		best := mostAdvanced(c.poll.statuses)
+		if best == "" {
+			return
+		}
+		status := c.poll.statuses[best]
+		if status.Primary && status.Term > g.record.Term {
+			c.successor, c.stage, c.confirmSince, c.due = best, stageConfirm, now, now
+			return
+		}
+		required := sequencer.Max(c.finalPosition, c.highestPosition)
+		if status.Received.Before(required) && now-c.announced < e.settings.CatchUpTimeout {
+			if old, registered := e.serversByID[g.record.Primary]; registered && c.reason == ReasonFailure && e.cancellable(g) {
+				e.cancelIfRecovered(now, g, old)
+			}
+			return
+		}
+		e.log("chooses a successor", observer.F("group", g.name), observer.F("server", best), observer.F("received", status.Received.String()),
+			observer.F("final", c.finalPosition.String()), observer.F("seen", c.highestPosition.String()), observer.F("loses", max(required.Offset-status.Received.Offset, 0)))
+		c.successor, c.stage, c.due = best, stageClaim, now
+		e.claimSuccessor(now, g)
+	})
+}
+
+// claimSuccessor writes the claim: the primary record with the successor that
+// this daemon is about to promote. The store accepts it only from the current
+// coordinator, and only if the record is the one that this daemon has read,
+// since its rows may be stale.
+func (e *Elector) claimSuccessor(now timekeeper.Millis, g *group) {
+	c := &g.change
+	c.due = now + e.settings.HeartbeatTimeout
+	if g.record.ChangeReason == "" || g.record.ChangeNumber != c.number {
+		c.due = now + minRemaining
+		e.commands = append(e.commands, ReloadRows{})
+		return
+	}
+	number, sentAt := c.number, now
+	next := g.record
+	next.Successor = c.successor
+	e.writeRecord(g, next, func(now timekeeper.Millis, result Result) {
+		if g.change.number != number || g.change.stage != stageClaim {
+			return
+		}
+		c.due = now
+		if result != Applied {
+			e.log("the store does not take the successor", observer.F("group", g.name), observer.F("server", c.successor),
+				observer.F("number", number), observer.F("result", result.String()))
+			c.stage, c.due = stageChoose, now+retryInterval
+			e.commands = append(e.commands, ReloadRows{})
+			return
+		}
+		c.claimSentAt, c.stage = sentAt, stagePromote
+		e.promote(now, g)
+	})
+}
+
+// cancelIfRecovered cancels the change if the old primary responds again. It is
+// called while no other server has received all commits of the old primary that
+// are known to the daemons.
+func (e *Elector) cancelIfRecovered(_ timekeeper.Millis, g *group, old cataloger.Server) {
+	number := g.change.number
+	e.inspect(old, InspectRequest{}, func(now timekeeper.Millis, status ServerStatus, err error) {
+		if err == nil && status.Primary && g.change.number == number && g.change.stage == stageChoose {
+			e.cancelChange(now, g, "the primary responds again")
+		}
+	})
+}
+
+// promote asks the platform to promote the successor. A claim older than
+// maxClaimAge is written again first.
+func (e *Elector) promote(now timekeeper.Millis, g *group) {
+	c := &g.change
+	if now-c.claimSentAt > maxClaimAge {
+		c.stage, c.due = stageClaim, now
+		return
+	}
+	c.due = now + 2*e.settings.SuspectTimeout
+	number := c.number
+	e.lastCommandID++
+	e.pendingPromotions[e.lastCommandID] = func(now timekeeper.Millis, err error) {
+		if g.change.number != number || g.change.stage != stagePromote {
+			return
+		}
+		e.log("promotion asked for", observer.F("group", g.name), observer.F("server", c.successor), observer.F("fence", e.coordinator.FencingToken),
+			observer.F("error", errorText(err)))
+		if err != nil {
+			c.due = now + retryInterval
+			c.stage = stageChoose
+			return
+		}
+		c.stage, c.confirmSince, c.due = stageConfirm, now, now+minRemaining
+	}
+	e.commands = append(e.commands, Promote{ID: e.lastCommandID, Promotion: Promotion{
+		Group: g.name, Server: c.successor, Holder: e.settings.Self.Name, FencingToken: e.coordinator.FencingToken,
+	}})
+}
+
+// maxClaimAge is how old a claim may be when the promotion is requested.
+// Without it, a daemon that was suspended in between could promote a server
+// although it is no longer the coordinator.
+const maxClaimAge timekeeper.Millis = 4500
+
+// confirmPrimary polls the successor until it reports that it is the primary of
+// a newer term, and then writes it to the primary record, which ends the
+// change. If that takes too long, a successor is chosen anew.
+func (e *Elector) confirmPrimary(now timekeeper.Millis, g *group) {
+	c := &g.change
+	server, registered := e.serversByID[c.successor]
+	if !registered || now-c.confirmSince > 4*e.settings.SuspectTimeout {
+		c.stage, c.due = stageChoose, now
+		return
+	}
+	c.due = now + 2*e.settings.SuspectTimeout
+	number := c.number
+	e.inspect(server, InspectRequest{}, func(now timekeeper.Millis, status ServerStatus, err error) {
+		if g.change.number != number || g.change.stage != stageConfirm {
+			return
+		}
+		c.due = now + confirmInterval
+		if err != nil || !status.Primary || status.Term <= g.record.Term {
+			return
+		}
+		next := PrimaryRecord{
+			Term: status.Term, Primary: c.successor, ChangeNumber: number, LastChangeDuration: now - c.started,
+			History: g.record.History.WithTerm(status.Term, status.Received.Offset),
+		}
+		c.due = now + e.settings.SuspectTimeout
+		e.log("the successor leads", observer.F("group", g.name), observer.F("server", c.successor), observer.F("term", status.Term),
+			observer.F("start", status.Received.Offset), observer.F("took", int64(next.LastChangeDuration)))
+		e.writeRecord(g, next, func(now timekeeper.Millis, result Result) {
+			c.due = now + minRemaining
+			if result == Applied {
+				g.change = change{}
+				g.failingBackoffUntil = now + failingBackoff
+			}
+			e.commands = append(e.commands, ReloadRows{})
+		})
+	})
+}
+
+// failingBackoff is how long failing statements are no reason for another
+// change after a primary change. If the new primary fails statements too, the
+// server is not the cause.
+const failingBackoff timekeeper.Millis = 20_000
+
+// confirmInterval is the time between two status polls of a promoted successor.
+const confirmInterval timekeeper.Millis = 40
