Go on with a change of primary whose end a restored store has lost

Trace: the coordinator wrote the end of change 1 and got the store's word; the restore undid it. The others wrote back the change as under way, and the coordinator ignored it, because it remembered that it had finished it.

Change: a new era forgets which change was finished last; the change goes on, and the servers show a primary of a later term.

Evidence: TestLostEndOfChange failed and passes; elector's tests and TestModel pass.

--- a/elector/era.go
+++ b/elector/era.go
@@ -111,7 +111,7 @@
 			observer.F("lease", next.heldLease), observer.F("hosts", len(next.remembered)))
 	}
 	for _, g := range e.groups {
-		g.recordVersion, g.ackedChange, g.ownWrite = unknownVersion, 0, Revision{}
+		g.recordVersion, g.ackedChange, g.lastFinishedChange, g.ownWrite = unknownVersion, 0, 0, Revision{}
 		g.change = change{}
 	}
 	clear(e.revocations)
--- a/elector/era_test.go
+++ b/elector/era_test.go
@@ -412,3 +412,39 @@
 		t.Error("no server was asked for its status")
 	}
 }
+
+// TestLostEndOfChange guards against a standstill when the store has lost the end of a
+// change that its coordinator remembers as finished.
+func TestLostEndOfChange(t *testing.T) {
+	e := elector.New(elector.DefaultSettings(self), elector.Deps{PrimaryHealth: func(string, string) elector.PrimaryHealth {
+		return elector.PrimaryHealth{UnresponsiveSince: 1, Quiesced: true}
+	}})
+	e.SetServers(1000, []cataloger.Server{{ID: "s0", Group: "g", Primary: true}, {ID: "s1", Group: "g"}})
+	rows := []elector.Row{
+		row("host/d0", 2, firstEraHost), row("reign/g", 30, changing5), row("duty", 3, `{"holder":"d0","fence":3}`),
+		row("ack/g/d0", 31, `{"incarnation":7,"number":2,"objects":true}`),
+	}
+	commands := append(e.SetRows(1000, 1000, rows, elector.Revision{Era: 1, Version: 80}), e.Tick(1500)...)
+	ended := false
+	for _, command := range commands {
+		if write, ok := command.(elector.Write); ok && len(write.Tx.Set) == 1 && write.Tx.Set[0].Key == "reign/g" {
+			ended = true
+			e.WriteFinished(1600, write.ID, elector.Applied, elector.Revision{Era: 1, Version: 81})
+		}
+	}
+	if !ended {
+		t.Fatal("the change was not ended before the restore")
+	}
+	rows[0], rows[2] = row("host/d0", 77, secondEraHost), row("duty", 78, `{"holder":"d0","fence":1048577}`)
+	rows[3] = row("ack/g/d0", 79, `{"incarnation":7,"number":2,"complete":true}`)
+	commands = e.SetRows(2000, 2000, append(rows, row("era/2", 76, `{"host":"d0"}`)), elector.Revision{Era: 2, Version: 79})
+	for now := timekeeper.Millis(2100); now < 5000; now += 100 {
+		commands = append(commands, e.Tick(now)...)
+	}
+	if !slices.ContainsFunc(commands, func(c elector.Command) bool {
+		inspect, ok := c.(elector.Inspect)
+		return ok && inspect.Request.Action == elector.ActionStepDown
+	}) {
+		t.Error("the change does not go on after the restore")
+	}
+}
