Review case: a primary that comes back under a new id stops its service for good

Cause: the primary of the recorded term is chosen as successor under its new id; its promotion changes nothing, and the change waits for a higher term for ever.

--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -108,12 +108,17 @@
 	s.record.line("the machines are back")
 	t.traffic(s, "recovery", recovery)
 	t.traffic(s, "after", 8*time.Second)
-	s.record.line("served before the final fault: %d of %d, later than recovery_s after it: %d of %d", t.served["before"], t.sent["before"], t.served["after"], t.sent["after"])
+	return t.judge(s.record, errors.New("too little traffic, or too little served before the final fault"))
+}
+
+// judge checks RECOVER. It returns unfit if the traffic does not allow a judgement.
+func (t *tally) judge(r *record, unfit error) error {
+	r.line("served before the final fault: %d of %d, later than recovery_s after it: %d of %d", t.served["before"], t.sent["before"], t.served["after"], t.sent["after"])
 	if 4*t.served["before"] < t.sent["before"] || t.sent["after"] < 50 {
-		return errors.New("too little traffic, or too little served before the final fault")
+		return unfit
 	}
 	if 4*t.served["after"] < t.sent["after"] {
-		s.record.broken("RECOVER: later than %v after the machines were back, %d of %d requests were served; %d of %d were before", recovery, t.served["after"], t.sent["after"], t.served["before"], t.sent["before"])
+		r.broken("RECOVER: later than %v after the machines were back, %d of %d requests were served; %d of %d were before", recovery, t.served["after"], t.sent["after"], t.served["before"], t.sent["before"])
 	}
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"time"
@@ -65,9 +66,11 @@
 
 // prepare writes the daemons' settings.
 func (s *scene) prepare(zones []string) error {
+	// Loopback addresses of its own keep the ports of a run apart from all others.
+	network := fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), rand.IntN(250))
 	seeds := []string{}
 	for i, zone := range zones {
-		d, err := newDaemon(s.record, s.dir, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, fmt.Sprintf("127.0.0.%d", 11+i))
+		d, err := newDaemon(s.record, s.dir, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, fmt.Sprintf("%s.%d", network, 11+i))
 		if err != nil {
 			return err
 		}
