Review case: a line feed in a text smuggles a statement

Seen: a write whose text has a line feed is cut there and acknowledged, and what follows is run and committed as a statement that no client sent (UNASKED).

Cause: the daemon ends a message at a line feed alone.

--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -34,7 +34,9 @@
 	promoted func(*instance)
 	// passedOn holds the ids of the statements that reached an instance.
 	passedOn map[string]bool
-	closed   bool
+	// ran holds the texts of the reads and writes that instances ran, by id.
+	ran    map[string]string
+	closed bool
 }
 
 // instance is one backend server.
@@ -62,7 +64,7 @@
 }
 
 func newCluster(name string, r *record, s *store, zones []string, work time.Duration, slots, maxConns int, sync bool) (*cluster, error) {
-	c := &cluster{name: name, record: r, store: s, work: work, promote: 300 * time.Millisecond, maxConns: maxConns, sync: sync, passedOn: map[string]bool{}}
+	c := &cluster{name: name, record: r, store: s, work: work, promote: 300 * time.Millisecond, maxConns: maxConns, sync: sync, passedOn: map[string]bool{}, ran: map[string]string{}}
 	for i, zone := range zones {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -485,9 +487,11 @@
 		}
 		return []string{fmt.Sprintf("%s %d %s %d 0 0 %d", role, in.term, in.position(len(in.log)), in.term, len(in.conns))}, "-", ""
 	case "READ":
+		c.ran[id] = text
 		c.record.line("instance %s runs %s READ %s", in.id, id, rest)
 		return []string{in.read(s, rest)}, digest, ""
 	case "WRITE":
+		c.ran[id] = text
 		item, data, _ := strings.Cut(rest, " ")
 		if !in.primary {
 			return nil, "", "READONLY " + in.id
