--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-standin ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/review-standin foreign-entry "$folder"
+exec target/review-standin returned-primary "$folder"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +28,8 @@
 	store   *store
 	cluster *cluster
 	daemons []*daemon
+	// removed is a daemon that is not to come back, if any.
+	removed *daemon
 	// trouble says that the disruption takes place.
 	trouble bool
 }
@@ -89,6 +93,9 @@
 	for _, d := range s.daemons {
 		d.kill()
 	}
+	if s.removed != nil {
+		s.removed.kill()
+	}
 	if s.cluster != nil {
 		s.cluster.close()
 	}
@@ -97,6 +104,24 @@
 	}
 }
 
+// maxRunTime is how long a case may run.
+const maxRunTime = 110 * time.Second
+
+// run runs a case until it ends, maxRunTime has passed or a signal ends the program.
+func (s *scene) run(play func(*scene) error) error {
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { ended <- play(s) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-signals:
+		return errors.New("ended by a signal")
+	case <-time.After(maxRunTime):
+		return errors.New("it took too long")
+	}
+}
+
 // cases are the script cases by name.
 var cases = map[string]func(*scene) error{}
 
@@ -130,7 +155,7 @@
 		fmt.Println("logs:", s.dir)
 	}
 	if s.store, err = newStore(); err == nil {
-		err = run(s)
+		err = s.run(run)
 	}
 	s.close()
 	problems := r.close()
