Bind sessions of closed databases to the client account of their key

The catalog now carries client accounts and whether a database is closed. Carriers resolve the digest in their own catalog unless it is older. Servers are not told the account yet. Deployments without accounts send the same messages as before, apart from the key digest and catalog version of forwarded statements.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -37,6 +37,9 @@
 	// LatencyObjective is the target duration of an operation.
 	LatencyObjective timekeeper.Millis `json:"objective"`
 	Rank             scheduler.Rank    `json:"rank"`
+	// Closed says that only clients of an account of the catalog may use the
+	// database.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // Group is a database group: one primary and its replicas.
@@ -55,6 +58,10 @@
 	Version   int64
 	databases map[string]Database
 	groups    map[string]Group
+	// accounts are the client accounts by name, and accountsByKey their names by
+	// the digests of their keys.
+	accounts      map[string]Account
+	accountsByKey map[KeyDigest]string
 	// IdleTransactionTimeout is how long a transaction may stay open without a
 	// statement; 0 sets no limit.
 	IdleTransactionTimeout timekeeper.Millis
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -208,9 +208,13 @@
 	}
 	r := ForwardRequest{
 		Work: j.work, Start: start, Statement: j.statement, Database: j.database, Account: s.account,
+		Key: s.key, Catalog: m.catalog.Version,
 		Left: max(j.deadline-now-answerReserve, 1), Values: s.values, Floor: s.floor, Writes: j.writes,
 	}
 	r.Database.Rank = rankOf(j.database)
+	if j.account != "" {
+		r.Account = j.account
+	}
 	if j.statement.Kind == KindExecute {
 		r.Shape = s.prepared[j.statement.Name].shape
 	}
--- a/multiplexer/carrier_test.go
+++ b/multiplexer/carrier_test.go
@@ -235,7 +235,7 @@
 func (d *fleetDaemon) ask(database string, st Statement, done func(Answer, timekeeper.Millis)) uint64 {
 	d.sessions++
 	id := d.sessions
-	if a := d.mux.Connect(id, database, database); a.Code != CodeOK {
+	if a := d.mux.Connect(d.fleet.Now(), id, database, database); a.Code != CodeOK {
 		d.fleet.t.Fatalf("connect: %v", a)
 	}
 	d.again(id, st, done)
--- a/multiplexer/forward.go
+++ b/multiplexer/forward.go
@@ -30,7 +30,13 @@
 	Start     TransactionStart   `json:"start,omitempty"`
 	Statement Statement          `json:"statement"`
 	Database  cataloger.Database `json:"database"`
-	Account   string             `json:"account"`
+	// Account is the client account that the statement runs for. In an open database
+	// it only distinguishes clients.
+	Account string `json:"account"`
+	// Key is the digest of the client's key, and Catalog the version of the catalog
+	// in which the requester found the account.
+	Key     cataloger.KeyDigest `json:"key,omitempty"`
+	Catalog int64               `json:"catalog,omitempty"`
 	// Left is how many milliseconds of the statement's time limit remain.
 	Left timekeeper.Millis `json:"left"`
 	// Values are the session's values.
@@ -130,9 +136,13 @@
 	}
 	if s == nil {
 		m.forwardedCount++
-		s = &session{id: forwardedSessionBit | m.forwardedCount, database: r.Database.Name, account: r.Account, prepared: map[string]prepared{}, work: &work}
+		s = &session{id: forwardedSessionBit | m.forwardedCount, database: r.Database.Name, account: r.Account, key: r.Key, catalog: r.Catalog, prepared: map[string]prepared{}, work: &work}
+		account, denial := m.resolveAccount(now, s, r.Database)
+		if denial.Code != CodeOK {
+			return refuse(ForwardAnswer{Answer: denial})
+		}
 		if r.Start != StartNone {
-			s.tx = &transaction{readOnly: r.Start == StartRead, database: r.Database, lastActive: now}
+			s.tx = &transaction{readOnly: r.Start == StartRead, database: r.Database, account: account, lastActive: now}
 		}
 		m.sessions[s.id] = s
 		m.forwarded[work] = s
@@ -147,8 +157,17 @@
 	if s.tx != nil {
 		s.tx.lastActive = now
 	}
+	account, denial := m.resolveAccount(now, s, r.Database)
+	if denial.Code == CodeOK && s.tx != nil && s.tx.account != account {
+		denial = Answer{Code: CodeAborted, Text: "the key belongs to another account now"}
+	}
+	if denial.Code != CodeOK {
+		m.abort(now, s)
+		m.answerForwarded(s, denial)
+		return m.takeCommands()
+	}
 	j := m.newJob(now, s, r.Statement, writes, r.Database)
-	j.deadline = now + r.Left
+	j.account, j.deadline = account, now+r.Left
 	m.startJob(now, j)
 	return m.takeCommands()
 }
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -240,7 +240,7 @@
 	}
 	cost := g.costs[rankOf(j.database)]
 	j.item = scheduler.Item{
-		ID: j.id, Customer: j.session.account, Rank: rankOf(j.database), Lane: j.lane, Cost: cost, Arrived: j.arrived,
+		ID: j.id, Customer: cmp.Or(j.account, j.session.account), Rank: rankOf(j.database), Lane: j.lane, Cost: cost, Arrived: j.arrived,
 		Deadline: j.arrived + j.database.Timeout/queueTimeDivisor,
 	}
 	g.queue.SetCapacity(j.lane, g.capacity(now, j.lane, j))
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -171,7 +171,7 @@
 func (h *harness) runStatement(database, account string, st Statement, done func(Answer, timekeeper.Millis)) {
 	h.session++
 	id := h.session
-	if a := h.m.Connect(id, database, account); a.Code != CodeOK {
+	if a := h.m.Connect(h.Now(), id, database, account); a.Code != CodeOK {
 		h.t.Fatalf("connect: %v", a)
 	}
 	started := h.Now()
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -30,6 +30,8 @@
 	statement Statement
 	writes    bool
 	database  cataloger.Database
+	// account is the client account that the job runs for; empty if the database is open.
+	account string
 	group     *group
 	arrived   timekeeper.Millis
 	// deadline is when the statement's time limit passes.
--- a/multiplexer/load_test.go
+++ b/multiplexer/load_test.go
@@ -181,7 +181,7 @@
 		t.Fatal("not ready before any failure")
 	}
 	for i := range 5 {
-		h.m.Connect(uint64(1000+i), "urgent", "idle")
+		h.m.Connect(h.Now(), uint64(1000+i), "urgent", "idle")
 	}
 	for _, s := range h.servers {
 		s.down = true
@@ -219,7 +219,7 @@
 	h.run(200)
 	for i := range 3 {
 		id := uint64(500 + i)
-		h.m.Connect(id, "urgent", "idle")
+		h.m.Connect(h.Now(), id, "urgent", "idle")
 		h.execute(h.m.Run(h.Now(), id, Statement{ID: "b", Kind: KindBegin}))
 		h.execute(h.m.Run(h.Now(), id, aWrite))
 		h.run(50)
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -28,6 +28,8 @@
 
 	catalog       cataloger.Catalog
 	catalogLoaded bool
+	// catalogReadAt is as of when the catalog is known to be the newest.
+	catalogReadAt timekeeper.Millis
 	sessions      map[uint64]*session
 	groups        map[string]*group
 	conns         map[pooler.Conn]*conn
@@ -133,6 +135,7 @@
 		m.group(name)
 	}
 	m.updatePoolLimits()
+	m.applyAccounts(now)
 	m.dispatchAll(now)
 	return m.takeCommands()
 }
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -52,6 +52,9 @@
 type conn struct {
 	id     pooler.Conn
 	server *server
+	// account is the client account that the connection belongs to; empty if it serves
+	// open databases.
+	account string
 	// values and prepared are the session values that were set and the
 	// statements that were prepared on the connection.
 	values   map[string]string
--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -35,6 +35,9 @@
 type transaction struct {
 	readOnly bool
 	database cataloger.Database
+	// account is the client account that the transaction runs for; empty if the database
+	// is open.
+	account string
 	// conn is the server connection that the transaction is pinned to; nil
 	// until its first statement.
 	conn *conn
@@ -54,7 +57,12 @@
 type session struct {
 	id       uint64
 	database string
-	account  string
+	// account distinguishes the clients of open databases.
+	account string
+	// key is the digest of the client's key. In a session that stands for another
+	// daemon's client, catalog is the version of that daemon's catalog.
+	key     cataloger.KeyDigest
+	catalog int64
 	values   map[string]string
 	prepared map[string]prepared
 	floor    sequencer.Position
@@ -86,23 +94,32 @@
 	return StateInTransaction
 }
 
-// Connect opens a session of a client account on a database. The answer's code
-// is CodeOK if the session is open, CodeNotRun if no catalog is loaded yet, and
-// CodeNoDatabase if the catalog lacks the database.
-func (m *Multiplexer) Connect(id uint64, database, account string) Answer {
+// Connect opens a session on a database for the client with a key, which is any
+// word if the database is open. The answer's code is CodeOK if the session is open,
+// CodeNotRun if the catalog is not known well enough, CodeNoDatabase if it lacks the
+// database, and CodeDenied if no account has the key.
+func (m *Multiplexer) Connect(now timekeeper.Millis, id uint64, database, key string) Answer {
 	if !m.catalogLoaded {
 		return Answer{Code: CodeNotRun, Text: "the catalog is not known yet", RetryAfter: 500}
 	}
-	if _, found := m.catalog.Database(database); !found {
+	d, found := m.catalog.Database(database)
+	if !found {
 		m.deps.Log(Decision{Part: "session", Outcome: "refused: unknown database", Inputs: []observer.Field{
 			observer.F("database", database), observer.F("catalog", m.catalog.Version),
 		}})
 		return Answer{Code: CodeNoDatabase, Text: database}
 	}
-	m.sessions[id] = &session{
-		id: id, database: database, account: account,
+	s := &session{
+		id: id, database: database, account: key, key: cataloger.DigestKey(key),
 		values: map[string]string{}, prepared: map[string]prepared{},
 	}
+	if m.catalog.AccountCount() > 0 {
+		s.account = string(s.key) // keys stay in the session that they open
+	}
+	if _, denial := m.resolveAccount(now, s, d); denial.Code != CodeOK {
+		return denial
+	}
+	m.sessions[id] = s
 	return Answer{}
 }
 
@@ -199,7 +216,12 @@
 		m.answer(s, Answer{Code: CodeNoDatabase, Text: s.database})
 		return
 	}
-	s.tx = &transaction{readOnly: st.Kind == KindBeginRead, database: database, lastActive: now}
+	account, denial := m.resolveAccount(now, s, database)
+	if denial.Code != CodeOK {
+		m.answer(s, denial)
+		return
+	}
+	s.tx = &transaction{readOnly: st.Kind == KindBeginRead, database: database, account: account, lastActive: now}
 	m.answer(s, Answer{})
 }
 
@@ -246,7 +268,21 @@
 		m.answer(s, Answer{Code: CodeNoDatabase, Text: s.database})
 		return
 	}
-	m.startJob(now, m.newJob(now, s, st, writes, database))
+	account, denial := m.resolveAccount(now, s, database)
+	if denial.Code == CodeOK && s.tx != nil && s.tx.account != account {
+		denial = Answer{Code: CodeAborted, Text: "the key belongs to another account now"}
+	}
+	if denial.Code != CodeOK {
+		m.abort(now, s)
+		if st.Kind == KindCommit {
+			s.tx = nil
+		}
+		m.answer(s, denial)
+		return
+	}
+	j := m.newJob(now, s, st, writes, database)
+	j.account = account
+	m.startJob(now, j)
 }
 
 // newJob returns a job for a session's statement with the database's time
--- a/multiplexer/statement.go
+++ b/multiplexer/statement.go
@@ -78,11 +78,13 @@
 	CodeMalformed
 	// CodeUndefinedStatement: the prepared statement is not known.
 	CodeUndefinedStatement
+	// CodeDenied: the database is closed to the client, whose key no account has.
+	CodeDenied
 )
 
 var codeNames = [...]string{
 	"ok", "not run", "aborted", "lagging", "read only", "wrong server", "too many connections",
-	"failed", "timeout", "in doubt", "no database", "malformed", "undefined",
+	"failed", "timeout", "in doubt", "no database", "malformed", "undefined", "denied",
 }
 
 // String returns the code's name, or "unknown code" for an undefined code.
@@ -137,6 +139,9 @@
 type OpenConn struct {
 	Conn   pooler.Conn
 	Server cataloger.Server
+	// Account is the client account that the server is told; empty for a connection
+	// of the daemon itself.
+	Account string
 	// Relayed asks for a connection through another daemon.
 	Relayed bool
 }
--- a/proxier/client_test.go
+++ b/proxier/client_test.go
@@ -38,7 +38,7 @@
 		return
 	}
 	d.lastSession++
-	if a := d.logic.mux.Connect(d.lastSession, database, name); a.Code != multiplexer.CodeOK {
+	if a := d.logic.mux.Connect(sim.Now(), d.lastSession, database, name); a.Code != multiplexer.CodeOK {
 		sim.After(100, func() { sim.connectClient(name, database) })
 		return
 	}
--- a/proxier/session.go
+++ b/proxier/session.go
@@ -16,14 +16,14 @@
 	daemonDone <-chan struct{}
 }
 
-// Connect opens a session for a client account on a database. It returns a nil
+// Connect opens a session on a database for the client with a key. It returns a nil
 // session and the refusal if the answer's code is not CodeOK. The daemon calls
 // disconnect to end an idle session; it is called under a lock and must not block.
-func (p *Proxy) Connect(database, clientAccount string, disconnect func()) (*Session, multiplexer.Answer) {
+func (p *Proxy) Connect(database, key string, disconnect func()) (*Session, multiplexer.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastSession++
-	answer := p.mux.Connect(p.lastSession, database, clientAccount)
+	answer := p.mux.Connect(p.clock.Now(), p.lastSession, database, key)
 	if answer.Code != multiplexer.CodeOK {
 		return nil, answer
 	}
--- a/proxier/watch.go
+++ b/proxier/watch.go
@@ -106,6 +106,14 @@
 			return p.mux.SetCatalog(now, catalog)
 		})
 	}
+	p.confirmCatalog(r.readAt)
+}
+
+// confirmCatalog records that the catalog was the newest at readAt.
+func (p *Proxy) confirmCatalog(readAt timekeeper.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mux.ConfirmCatalog(readAt)
 }
 
 // tableWatch configures watchTable for one table.
@@ -160,6 +168,8 @@
 		p.cache.apply(watch.table, rows.Rows, rows.readAt)
 		if len(rows.Rows.Rows) > 0 {
 			watch.onChange(rows)
+		} else {
+			watch.onUnchanged(rows.readAt)
 		}
 		revision.Version = max(revision.Version, rows.Version)
 		return nil
@@ -231,7 +241,7 @@
 		table: TableCatalog, name: "store: catalog", feedWait: catalogWait, followWait: catalogFollowWait,
 		onSnapshot:  p.setCatalog,
 		onChange:    p.setCatalog,
-		onUnchanged: func(timekeeper.Millis) {},
+		onUnchanged: p.confirmCatalog,
 	})
 }
 
