--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -32,8 +32,8 @@
 	database  cataloger.Database
 	// account is the client account that the job runs for; empty if the database is open.
 	account string
-	group     *group
-	arrived   timekeeper.Millis
+	group   *group
+	arrived timekeeper.Millis
 	// deadline is when the statement's time limit passes.
 	deadline timekeeper.Millis
 	// started is when the job first got a connection; 0 before.
--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -61,8 +61,8 @@
 	account string
 	// key is the digest of the client's key. In a session that stands for another
 	// daemon's client, catalog is the version of that daemon's catalog.
-	key     cataloger.KeyDigest
-	catalog int64
+	key      cataloger.KeyDigest
+	catalog  int64
 	values   map[string]string
 	prepared map[string]prepared
 	floor    sequencer.Position
