--- a/multiplexer/account.go
+++ b/multiplexer/account.go
@@ -102,3 +102,9 @@
 		m.emit(CloseSession{Session: s.id})
 	}
 }
+
+// accountWeight returns the weight of an account's work in the queue: within a rank of
+// work, each rank of accounts gets half the share of the next more urgent one.
+func accountWeight(a cataloger.Account) float64 {
+	return float64(int(1) << a.Rank)
+}
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -243,6 +243,9 @@
 		ID: j.id, Customer: cmp.Or(j.account, j.session.account), Rank: rankOf(j.database), Lane: j.lane, Cost: cost, Arrived: j.arrived,
 		Deadline: j.arrived + j.database.Timeout/queueTimeDivisor,
 	}
+	if account, found := g.mux.catalog.Account(j.account); found {
+		j.item.Weight = accountWeight(account)
+	}
 	g.queue.SetCapacity(j.lane, g.capacity(now, j.lane, j))
 	if err := g.queue.Push(now, j.item); err != nil {
 		after := defaultRetryDelay
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -32,11 +32,21 @@
 	Arrived timekeeper.Millis
 	// Deadline is the latest time at which the work may start.
 	Deadline timekeeper.Millis
+	// Weight divides the customer's share of its rank: an item of weight 2 counts as
+	// twice its cost. 0 means 1.
+	Weight float64
 	// ConcurrencyLimit is how many statements the customer may have running in
 	// this rank; 0 means no limit.
 	ConcurrencyLimit int
 }
 
+func (i Item) weight() float64 {
+	if i.Weight == 0 {
+		return 1
+	}
+	return i.Weight
+}
+
 // Queue holds the waiting work of one database or database group. Ranks share
 // the capacity by deficit round robin, and the customers of a rank by start-time
 // fair queueing.
@@ -229,7 +239,7 @@
 // waiting work in the lane gain their share of the cost as credit.
 func (q *Queue) charge(r *rankQueue, f *flow, item Item) {
 	r.virtualTime = max(r.virtualTime, f.startTag)
-	f.startTag += item.Cost
+	f.startTag += item.Cost * item.weight()
 	f.running++
 	r.recordRemoval(f, item)
 	for i := range q.ranks {
@@ -254,7 +264,7 @@
 		return
 	}
 	f.running--
-	f.startTag += serviceTime - item.Cost
+	f.startTag += (serviceTime - item.Cost) * item.weight()
 	state := &r.lanes[item.Lane]
 	state.credit = min(maxCredit, max(minCredit, state.credit+item.Cost-serviceTime))
 	r.reposition(f)
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -222,3 +222,30 @@
 		}
 	})
 }
+
+// Guards against a customer of twice the weight that gets more than half of the
+// service of another one while both wait.
+func TestWeight(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultRankPolicies(), 1<<20)
+	served := map[string]int{}
+	next := 0
+	for range 900 {
+		for customer, weight := range map[string]float64{"light": 0, "heavy": 2} {
+			next++
+			it := item(fmt.Sprint(next), customer, scheduler.RankStandard)
+			it.Weight = weight
+			if err := q.Push(0, it); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, found := q.Pop(anyLane, fitsAll)
+		if !found {
+			t.Fatal("nothing to serve")
+		}
+		served[got.Customer]++
+		q.Done(got, 1)
+	}
+	if served["light"] < 590 || served["light"] > 610 {
+		t.Errorf("served %v, want twice as many of light as of heavy", served)
+	}
+}
