Run statements of closed databases on connections of their account

A server learns the account at the start of a connection, so a statement of a closed database may run only on a connection of its own account.

The pool keys connections by account and evicts the idle connection of another account that was unused for longest when the share is full. A waiting statement opens a connection at one server, the one that would run it. Its customer is parked in the queue meanwhile, so that the search for work that fits does not end at eight customers without a connection. Relays with an account use the method connectas. A group with closed databases is carried when its limit is below two connections for each host and account (of at most 8 accounts), by one daemon of a domain for every 16 of the domain's connections; all work of an account goes to one of them. A daemon opens no more than two connections to each server until it knows the hosts.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -58,6 +58,8 @@
 	Version   int64
 	databases map[string]Database
 	groups    map[string]Group
+	// openGroups and closedGroups are the groups that have open and closed databases.
+	openGroups, closedGroups map[string]bool
 	// accounts are the client accounts by name, and accountsByKey their names by
 	// the digests of their keys.
 	accounts      map[string]Account
@@ -69,9 +71,17 @@
 
 // New returns a catalog with the given version, databases and groups.
 func New(version int64, databases []Database, groups []Group) Catalog {
-	c := Catalog{Version: version, databases: make(map[string]Database, len(databases)), groups: make(map[string]Group, len(groups))}
+	c := Catalog{
+		Version: version, databases: make(map[string]Database, len(databases)), groups: make(map[string]Group, len(groups)),
+		openGroups: map[string]bool{}, closedGroups: map[string]bool{},
+	}
 	for _, d := range databases {
 		c.databases[d.Name] = d
+		if d.Closed {
+			c.closedGroups[d.Group] = true
+		} else {
+			c.openGroups[d.Group] = true
+		}
 	}
 	for _, g := range groups {
 		c.groups[g.Name] = g
@@ -103,6 +113,16 @@
 	return maps.Clone(c.groups)
 }
 
+// HasOpen reports whether a group has an open database.
+func (c Catalog) HasOpen(group string) bool {
+	return c.openGroups[group]
+}
+
+// HasClosed reports whether a group has a closed database.
+func (c Catalog) HasClosed(group string) bool {
+	return c.closedGroups[group]
+}
+
 // DatabaseCount returns the number of databases.
 func (c Catalog) DatabaseCount() int {
 	return len(c.databases)
--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -173,7 +173,7 @@
 		return c.Scan(call, request.Table)
 	case methodForward, methodEnd, methodPing:
 		return c.handleForward(ctx, r)
-	case methodConnect:
+	case methodConnect, methodConnectAs:
 		return c.connect(ctx, r)
 	case methodRun:
 		return c.run(r)
--- a/detourer/detourer_test.go
+++ b/detourer/detourer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/goleak"
 
 	"github.com/heatherhall/heatherhall/cataloger"
@@ -28,6 +30,8 @@
 	requests atomic.Int64
 	// openConns is the number of open connections to backend servers.
 	openConns atomic.Int64
+	// account is the account of the last connection.
+	account atomic.Value
 }
 
 // startPeer starts a peer, whose requests all fail if down is set.
@@ -60,7 +64,7 @@
 		FetchCached: func(_ context.Context, request RowsRequest) (CachedRows, error) {
 			return CachedRows{Revision: elector.Revision{Version: 9}, Generation: 7, Age: 40, Unchanged: request.KnownGeneration == 7}, nil
 		},
-		Connect: func(_ context.Context, server cataloger.Server) (ServerConn, multiplexer.Answer, error) {
+		Connect: func(_ context.Context, server cataloger.Server, account string) (ServerConn, multiplexer.Answer, error) {
 			if down {
 				return ServerConn{}, multiplexer.Answer{}, errStoreDown
 			}
@@ -68,6 +72,7 @@
 				return ServerConn{}, multiplexer.Answer{Code: multiplexer.CodeTooManyConnections}, nil
 			}
 			p.openConns.Add(1)
+			p.account.Store(account)
 			return ServerConn{Run: func(statements []multiplexer.Statement) ([]multiplexer.Answer, error) {
 				var out []multiplexer.Answer
 				for _, st := range statements {
@@ -165,10 +170,10 @@
 	client.AddPeers([]string{unreachable.address, reachable.address})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if _, answer, err := client.Relay(ctx, cataloger.Server{ID: "full"}); err != nil || answer.Code != multiplexer.CodeTooManyConnections {
+	if _, answer, err := client.Relay(ctx, cataloger.Server{ID: "full"}, ""); err != nil || answer.Code != multiplexer.CodeTooManyConnections {
 		t.Errorf("got %v, %v, want the server's refusal", answer.Code, err)
 	}
-	conn, answer, err := client.Relay(ctx, cataloger.Server{ID: "s0"})
+	conn, answer, err := client.Relay(ctx, cataloger.Server{ID: "s0"}, "")
 	if err != nil || answer.Signature != "s" {
 		t.Fatalf("got %+v, %v, want an answer with signature s", answer, err)
 	}
@@ -176,6 +181,9 @@
 	if err != nil || len(answers) != 2 || answers[1].Rows[0] != "s0 y" {
 		t.Errorf("got %+v, %v, want two answers, the second with the row 's0 y'", answers, err)
 	}
+	if account := reachable.account.Load(); account != "" {
+		t.Errorf("the connection has the account %q, want none", account)
+	}
 	if _, err := conn.Run([]multiplexer.Statement{{Args: "break"}}); err == nil {
 		t.Error("got an answer on a failed connection")
 	}
@@ -191,3 +199,26 @@
 	}
 	t.Error("the connection is still open 5 s after the relay was closed")
 }
+
+// TestRelayAccount guards against a relay that runs an account's statements on the
+// daemon's own connection: the other daemon must get the account and reject a request
+// without one.
+func TestRelayAccount(t *testing.T) {
+	p := startPeer(t, false)
+	client := New("127.0.0.1:1", net.Dialer{})
+	client.AddPeers([]string{p.address})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, _, err := client.Relay(ctx, cataloger.Server{ID: "s0"}, "a1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	if account := p.account.Load(); account != "a1" {
+		t.Errorf("the connection has the account %q, want a1", account)
+	}
+	params := json.RawMessage(`{"server":{"ID":"s0"}}`)
+	if _, err := (&peerConn{}).connect(ctx, &jsonrpc2.Request{Method: methodConnectAs, Params: &params}); err == nil {
+		t.Error("a request without an account is accepted, want an error")
+	}
+}
--- a/detourer/relay.go
+++ b/detourer/relay.go
@@ -18,6 +18,9 @@
 const (
 	methodConnect = "connect"
 	methodRun     = "run"
+	// methodConnectAs is methodConnect with a client account. It has a name of its own,
+	// so that an older daemon, which would ignore the account, rejects the call.
+	methodConnectAs = "connectas"
 )
 
 // relayIdleTimeout is how long a relay may be idle before its connections are closed.
@@ -33,9 +36,16 @@
 	Close func()
 }
 
-// ConnectFunc opens a connection to a backend server. If the server refuses it, the
-// answer's code is not CodeOK and gives the reason.
-type ConnectFunc func(ctx context.Context, server cataloger.Server) (ServerConn, multiplexer.Answer, error)
+// connectRequest asks another daemon for a relay with a client account.
+type connectRequest struct {
+	Server  cataloger.Server `json:"server"`
+	Account string           `json:"account"`
+}
+
+// ConnectFunc opens a connection to a backend server for a client account; without
+// one it is the daemon's own. If the server refuses it, the answer's code is not CodeOK
+// and gives the reason.
+type ConnectFunc func(ctx context.Context, server cataloger.Server, account string) (ServerConn, multiplexer.Answer, error)
 
 // peerConn is a connection that another daemon has opened to this one.
 type peerConn struct {
@@ -54,13 +64,20 @@
 // connect opens the relay's connection to a backend server. A connection between
 // daemons carries one relay at most.
 func (c *peerConn) connect(ctx context.Context, r *jsonrpc2.Request) (any, error) {
-	var server cataloger.Server
-	if err := json.Unmarshal(*r.Params, &server); err != nil {
+	var request connectRequest
+	target := any(&request.Server)
+	if r.Method == methodConnectAs {
+		target = &request
+	}
+	if err := json.Unmarshal(*r.Params, target); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	if r.Method == methodConnectAs && request.Account == "" {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no account"}
+	}
 	call, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
-	conn, answer, err := c.Connect(call, server)
+	conn, answer, err := c.Connect(call, request.Server, request.Account)
 	if err != nil {
 		return nil, err
 	}
@@ -110,7 +127,7 @@
 // Relay opens a connection to a backend server via a peer. It tries the peer that last
 // succeeded first. If the server refuses the connection, the answer's code is not
 // CodeOK and gives the reason.
-func (c *PeerClient) Relay(ctx context.Context, server cataloger.Server) (ServerConn, multiplexer.Answer, error) {
+func (c *PeerClient) Relay(ctx context.Context, server cataloger.Server, account string) (ServerConn, multiplexer.Answer, error) {
 	c.mu.Lock()
 	peers, first := append([]string(nil), c.peers...), c.nextRelay
 	c.mu.Unlock()
@@ -118,7 +135,7 @@
 	for i := range min(len(peers), maxAttempts) {
 		var conn ServerConn
 		var answer multiplexer.Answer
-		if conn, answer, err = c.relayVia(ctx, peers[(first+i)%len(peers)], server); err == nil {
+		if conn, answer, err = c.relayVia(ctx, peers[(first+i)%len(peers)], server, account); err == nil {
 			return conn, answer, nil
 		}
 		c.mu.Lock()
@@ -132,7 +149,7 @@
 }
 
 // relayVia opens a connection to a backend server via the given peer.
-func (c *PeerClient) relayVia(ctx context.Context, peer string, server cataloger.Server) (ServerConn, multiplexer.Answer, error) {
+func (c *PeerClient) relayVia(ctx context.Context, peer string, server cataloger.Server, account string) (ServerConn, multiplexer.Answer, error) {
 	var answer multiplexer.Answer
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -146,7 +163,11 @@
 		cancelRelay()
 		_ = rpc.Close() // it may have ended already
 	}
-	if err := rpc.Call(call, methodConnect, server, &answer); err != nil {
+	method, params := methodConnect, any(server)
+	if account != "" {
+		method, params = methodConnectAs, connectRequest{Server: server, Account: account}
+	}
+	if err := rpc.Call(call, method, params, &answer); err != nil {
 		closeAll()
 		return ServerConn{}, answer, &Error{Op: methodConnect, Kind: KindConnection, Text: err.Error()}
 	}
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -27,6 +27,7 @@
 		m.closeConn(now, id)
 		return m.takeCommands()
 	}
+	g.examine(c.account)
 	g.dispatchQueued(now)
 	return m.takeCommands()
 }
@@ -85,6 +86,7 @@
 	delete(m.conns, c.id)
 	delete(c.server.conns, c.id)
 	c.server.pool.Remove(now, c.id)
+	m.group(c.server.Group).examine(c.account)
 }
 
 // rollback unpins a connection from its session and rolls its transaction back.
@@ -105,11 +107,12 @@
 // longer registered.
 func (m *Multiplexer) returnConn(now timekeeper.Millis, c *conn) {
 	c.pinnedSession = nil
-	if c.server.deregistered {
+	if _, found := m.catalog.Account(c.account); c.server.deregistered || c.account != "" && !found {
 		m.closeConn(now, c.id)
 		return
 	}
 	c.server.pool.Put(now, c.id)
+	m.group(c.server.Group).examine(c.account)
 }
 
 // AnswersReceived handles the answers to the last Send on a connection, in the
@@ -430,13 +433,14 @@
 func (g *group) tick(now timekeeper.Millis) {
 	for _, item := range g.queue.Expire(now) {
 		j := g.waiting[item.ID]
-		delete(g.waiting, item.ID)
+		g.removeWaiting(j)
 		g.reject(now, j, defaultRetryDelay, "no server was free in time")
 	}
 	for _, j := range sortedJobs(g.running) {
 		g.checkTimeout(now, j)
 	}
 	g.rejectUnservable(now)
+	g.examineAll()
 	for _, s := range g.servers {
 		if since := s.oldestUnanswered(); since > 0 && now-since > unresponsiveFactor*g.mux.settings.MinAnswerTimeout && !s.unresponsive {
 			g.markUnresponsive(now, s, "answers are outstanding")
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -87,7 +87,11 @@
 		return
 	}
 	if !placement.Partial() || before == 0 {
-		g.carrierCount = placement.CarriersPerDomain(config.ConnectionLimit, before > 0)
+		accounts := 0
+		if g.mux.catalog.HasClosed(g.name) {
+			accounts = g.mux.catalog.AccountCount()
+		}
+		g.carrierCount = placement.CarriersPerDomain(config.ConnectionLimit, accounts, before > 0)
 		g.sharers = placement.Sharers(g.carrierCount)
 	}
 	if g.carrierCount == 0 {
@@ -112,16 +116,21 @@
 
 // carrierFor returns the carrier that runs the job, or false if this daemon
 // runs it itself: it is a carrier, or no carrier can be reached. A session's
-// work goes to the same carrier as long as that responds.
+// work goes to the same carrier as long as that responds, and so does an account's from
+// all daemons of the failure domain, so that it shares connections.
 func (g *group) carrierFor(now timekeeper.Millis, j *job) (placer.Host, bool) {
-	if j.session.work != nil || g.carries() {
+	if j.session.work != nil || g.carrierCount == 0 || j.account == "" && g.carries() {
 		return placer.Host{}, false
 	}
 	n, self := min(g.carrierCount, len(g.carriers)), g.mux.placement.Self().Name
+	first := int(j.session.id)
+	if j.account != "" {
+		first = placer.SelectForAccount(g.carriers[:n], g.name, j.account)
+	}
 	for i := range min(n+spareCarriers, len(g.carriers)) {
 		h := g.carriers[i]
 		if i < n {
-			h = g.carriers[(int(j.session.id)+i)%n]
+			h = g.carriers[(first+i)%n]
 		}
 		if h.Name == self {
 			return placer.Host{}, false
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -41,8 +41,9 @@
 	byID    map[string]*server
 	queue   *scheduler.Queue
 	// waiting holds the queued jobs and running those on a connection, by id.
-	waiting map[string]*job
-	running map[string]*job
+	waiting  map[string]*job
+	running  map[string]*job
+	accounts accountConns
 	// carrierCount is how many daemons of each failure domain carry the group's
 	// work, 0 if each daemon runs its own. carriers are the daemons of this
 	// failure domain in the order in which they do so, and sharers is how many
@@ -70,6 +71,7 @@
 		name: name, mux: m, byID: map[string]*server{},
 		queue:   scheduler.New(m.settings.RankPolicies, m.settings.QueueLimit),
 		waiting: map[string]*job{}, running: map[string]*job{}, retryBudget: retryBudgetCap / 2, sharers: 1,
+		accounts: accountConns{waiting: map[string]int{}},
 	}
 	g.updateCarriers()
 	for i := range g.costs {
@@ -252,7 +254,7 @@
 		g.reject(now, j, after, err.Error())
 		return
 	}
-	g.waiting[j.id] = j
+	g.addWaiting(j)
 }
 
 // reject completes a job that can't be served now. The answer is CodeNotRun
@@ -281,7 +283,7 @@
 // unqueue removes a job from the queue.
 func (g *group) unqueue(j *job) {
 	g.queue.Remove(j.id)
-	delete(g.waiting, j.id)
+	g.removeWaiting(j)
 }
 
 // cancelWaiting removes a queued job whose client has disconnected.
@@ -347,14 +349,21 @@
 	return false
 }
 
-// selectServer returns the server that would run a job now, or nil. It sets the
-// job's floor.
+// selectServer returns the server that would run a job now on an idle connection, or
+// nil. It sets the job's floor.
 func (g *group) selectServer(now timekeeper.Millis, j *job) *server {
+	return g.selectAmong(now, j, func(s *server) bool { return s.pool.CanTakeAs(rankOf(j.database), j.account) }, 0)
+}
+
+// selectAmong returns the best server for a job of those for which hasConn returns
+// true, or nil. A connection that is being opened counts like openingWeight
+// statements.
+func (g *group) selectAmong(now timekeeper.Millis, j *job, hasConn func(*server) bool, openingWeight int) *server {
 	floor, known := g.readFloor(now, j)
 	j.floor = floor
 	if j.lane == scheduler.LanePrimary {
 		s := g.usablePrimary(now)
-		if s == nil || now < s.backoffUntil && s.errorRate < degradedErrorRate || s.available(g, rankOf(j.database)) < 1 || !s.pool.CanTake(rankOf(j.database)) {
+		if s == nil || now < s.backoffUntil && s.errorRate < degradedErrorRate || s.available(g, rankOf(j.database))-openingWeight*s.pool.OpeningAccounts() < 1 || !hasConn(s) {
 			return nil
 		}
 		return s
@@ -362,9 +371,13 @@
 	candidates := g.candidates(now, rankOf(j.database))
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Primary && (!known || j.excluded[c.Name]) || !g.servers[i].pool.CanTake(rankOf(j.database)) {
+		if !c.Primary && (!known || j.excluded[c.Name]) || !hasConn(g.servers[i]) {
 			c.Usable = false
 		}
+		if opening := openingWeight * g.servers[i].pool.OpeningAccounts(); opening > 0 {
+			c.Available -= opening
+			c.InFlight += opening
+		}
 	}
 	if i := router.SelectForRead(candidates, router.ReadRequirement{Floor: floor, History: g.lease.History}); i >= 0 {
 		return g.servers[i]
@@ -382,13 +395,16 @@
 				return false
 			}
 			g.selected = g.selectServer(now, j)
+			if g.selected == nil && j.account != "" {
+				g.requestConn(now, j)
+			}
 			return g.selected != nil
 		})
 		if !found {
 			break
 		}
 		j := g.waiting[item.ID]
-		delete(g.waiting, item.ID)
+		g.removeWaiting(j)
 		g.start(now, j, g.selected)
 	}
 	g.adjustConns(now)
@@ -404,12 +420,13 @@
 		g.probeDirect(now, s)
 		toOpen, toClose := s.pool.Plan(now, g.demand(s))
 		for _, id := range toOpen {
-			g.openConn(now, s, id, g.useRelay(s))
+			g.openConn(now, s, id, "", g.useRelay(s))
 		}
 		for _, id := range toClose {
 			g.mux.closeConn(now, id)
 		}
 	}
+	g.openRequested(now)
 }
 
 // idleLimit is how long idle connections beyond the minimum stay open. After a
@@ -418,15 +435,15 @@
 // connections too.
 const idleLimit timekeeper.Millis = 2000
 
-// demand returns how many idle connections a server should have. An
+// demand returns how many idle connections without an account a server should have. An
 // unresponsive server gets one, as a probe.
 func (g *group) demand(s *server) int {
 	if s.unresponsive {
 		return 1
 	}
-	demand := g.mux.minIdle(g) + g.queue.LenByLane(scheduler.LaneAny)
+	demand := g.mux.minIdle(g) + g.queue.LenByLane(scheduler.LaneAny) - g.accounts.byLane[scheduler.LaneAny]
 	if g.isPrimary(s) {
-		demand += g.queue.LenByLane(scheduler.LanePrimary)
+		demand += g.queue.LenByLane(scheduler.LanePrimary) - g.accounts.byLane[scheduler.LanePrimary]
 	}
 	return demand
 }
@@ -434,7 +451,7 @@
 // start runs the job on an idle connection to the server, or queues the job
 // again if there is none.
 func (g *group) start(now timekeeper.Millis, j *job, s *server) {
-	id, ready := s.pool.Take(rankOf(j.database))
+	id, ready := s.pool.TakeAs(rankOf(j.database), j.account)
 	if !ready {
 		g.queue.Done(j.item, 0)
 		g.enqueue(now, j)
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -25,6 +25,8 @@
 	// pending are the callbacks for unanswered statements, by session.
 	pending        map[uint64]func(Answer)
 	sessionsClosed int
+	// checkSend, unless nil, checks the connection of each Send.
+	checkSend func(*conn)
 }
 
 // fakeServer is a backend server with slots and a queue in order of arrival.
@@ -112,6 +114,9 @@
 		case OpenConn:
 			h.open(c)
 		case Send:
+			if h.checkSend != nil {
+				h.checkSend(h.m.conns[c.Conn])
+			}
 			h.send(c)
 		case CloseConn:
 			if s := h.conns[c.Conn]; s != nil {
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -135,6 +135,7 @@
 		m.group(name)
 	}
 	m.updatePoolLimits()
+	m.closeRemovedAccounts(now)
 	m.applyAccounts(now)
 	m.dispatchAll(now)
 	return m.takeCommands()
@@ -175,6 +176,12 @@
 	s.pool.SetSurplusIdleLimit(m.surplusIdleLimit(g))
 }
 
+// restartHeadroom is how many of a server's connections all daemons together leave
+// unused in a group with closed databases: a server goes on counting the connections of
+// a daemon that lost power for some seconds, and the restarted daemon opens up to
+// minShare before membershipSettleTime.
+const restartHeadroom = 2 * minShare
+
 // minShare is the smallest share of connections, however many daemons there
 // are: other statements need a second connection while an idle transaction pins
 // the first.
@@ -193,17 +200,34 @@
 	case !g.carries() || m.placedAt == 0:
 		return minShare
 	}
-	return max(minShare, (config.ConnectionLimit-m.settings.ReservedConnections)/max(g.sharers, 1))
+	limit := config.ConnectionLimit - m.settings.ReservedConnections
+	if m.catalog.HasClosed(g.name) {
+		if !m.membershipSettled {
+			return minShare
+		}
+		limit -= restartHeadroom
+	}
+	return max(minShare, limit/max(g.sharers, 1))
+}
+
+// keepsIdle reports whether this daemon keeps idle connections to the servers of a
+// group: it carries the group and knows all hosts.
+func (m *Multiplexer) keepsIdle(g *group) bool {
+	_, found := m.catalog.Group(g.name)
+	return found && g.carries() && m.membershipSettled
 }
 
-// minIdle returns how many idle connections are kept open to each server of a
-// group: 1, or 0 if this daemon does not carry the group or does not know all
-// hosts yet, or if it carries the group for others, see minOpen.
+// onlyClosed reports whether a group has closed databases only, whose statements use
+// no connections without an account.
+func (m *Multiplexer) onlyClosed(g *group) bool {
+	return m.catalog.HasClosed(g.name) && !m.catalog.HasOpen(g.name)
+}
+
+// minIdle returns how many idle connections without an account are kept open to each
+// server of a group: 1, or 0 if this daemon keeps none, or if it carries the group for
+// others, see minOpen.
 func (m *Multiplexer) minIdle(g *group) int {
-	if _, found := m.catalog.Group(g.name); !found || !g.carries() || !m.membershipSettled {
-		return 0
-	}
-	if g.carrierCount > 0 {
+	if !m.keepsIdle(g) || g.carrierCount > 0 || m.onlyClosed(g) {
 		return 0
 	}
 	return 1
@@ -213,9 +237,10 @@
 // idle.
 const carrierMinOpen = 2
 
-// minOpen returns how many connections are kept open to each server of a group.
+// minOpen returns how many connections without an account are kept open to each server
+// of a group.
 func (m *Multiplexer) minOpen(g *group) int {
-	if _, found := m.catalog.Group(g.name); !found || g.carrierCount == 0 || !g.carries() || !m.membershipSettled {
+	if !m.keepsIdle(g) || g.carrierCount == 0 || m.onlyClosed(g) {
 		return 0
 	}
 	return min(carrierMinOpen, m.share(g)/2)
@@ -232,7 +257,7 @@
 // surplusIdleLimit returns how long connections beyond the first stay idle. If
 // it is 0, idleLimit applies to them too.
 func (m *Multiplexer) surplusIdleLimit(g *group) timekeeper.Millis {
-	if m.minIdle(g) > 0 || m.minOpen(g) > 0 {
+	if m.keepsIdle(g) {
 		return 0
 	}
 	return shortIdleLimit
--- a/multiplexer/relay.go
+++ b/multiplexer/relay.go
@@ -40,16 +40,16 @@
 func (g *group) probeDirect(now timekeeper.Millis, s *server) {
 	if s.relayed && now >= s.nextDirectProbe {
 		s.nextDirectProbe = now + directProbeInterval
-		g.openConn(now, s, g.mux.nextConn(), false)
+		g.openConn(now, s, g.mux.nextConn(), "", false)
 	}
 }
 
-// openConn registers a new connection and tells the driver to open it.
-func (g *group) openConn(now timekeeper.Millis, s *server, id pooler.Conn, relayed bool) {
-	c := &conn{id: id, server: s, values: map[string]string{}, prepared: map[string]bool{}, opening: true, relayed: relayed, sent: now}
+// openConn registers a new connection for an account, or without one, and tells the driver to open it.
+func (g *group) openConn(now timekeeper.Millis, s *server, id pooler.Conn, account string, relayed bool) {
+	c := &conn{id: id, server: s, account: account, values: map[string]string{}, prepared: map[string]bool{}, opening: true, relayed: relayed, sent: now}
 	g.mux.conns[id] = c
 	s.conns[id] = c
-	g.mux.emit(OpenConn{Conn: id, Server: s.Server, Relayed: relayed})
+	g.mux.emit(OpenConn{Conn: id, Server: s.Server, Account: account, Relayed: relayed})
 }
 
 // recordConnPath records the path on which a server accepted or refused a
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,12 @@
 	// connsPerCarrier is how many of a server's connections make another
 	// carrier in each failure domain worthwhile.
 	connsPerCarrier = 8
+	// accountConnsPerCarrier takes its place for a group with closed databases, so that
+	// a carrier can keep connections of more accounts open.
+	accountConnsPerCarrier = 16
+	// maxDirectAccounts bounds the accounts for which each daemon would need connections
+	// of its own. The others are active too rarely to need one at each daemon.
+	maxDirectAccounts = 8
 )
 
 // Host is a live daemon.
@@ -94,16 +100,22 @@
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
 // group whose servers accept limit connections each. It is 0 if all daemons
-// connect to the servers themselves; carried says that they do not so far.
-func (p Placement) CarriersPerDomain(limit int, carried bool) int {
+// connect to the servers themselves; carried says that they do not so far. accounts is
+// the number of client accounts that need connections of their own, 0 if none does.
+func (p Placement) CarriersPerDomain(limit, accounts int, carried bool) int {
 	needed := directConns
 	if carried {
 		needed = directConnsReturn
 	}
+	perCarrier := connsPerCarrier
+	if accounts > 0 {
+		needed *= min(accounts, maxDirectAccounts)
+		perCarrier = accountConnsPerCarrier
+	}
 	if limit >= needed*p.HostCount() {
 		return 0
 	}
-	return max(1, limit/(max(p.domains, 1)*connsPerCarrier))
+	return max(1, limit/(max(p.domains, 1)*perCarrier))
 }
 
 // Sharers returns how many daemons share the connections to the servers of a
@@ -115,6 +127,18 @@
 	return min(p.HostCount(), carriersPerDomain*max(p.domains, 1))
 }
 
+// SelectForAccount returns the index of the carrier, among those of a group in a failure
+// domain, that runs an account's work, by rendezvous hashing.
+func SelectForAccount(carriers []Host, group, account string) int {
+	best, highest := 0, uint64(0)
+	for i, h := range carriers {
+		if weight := xxhash.Sum64String(h.Name + "/" + group + "/" + account); weight > highest {
+			best, highest = i, weight
+		}
+	}
+	return best
+}
+
 // Order returns the daemons of this daemon's failure domain in the order in
 // which they are to carry a group, by rendezvous hashing. Daemons that know the
 // same hosts get the same order, and the loss of a host moves only the groups
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -22,6 +22,7 @@
 func TestCarrierCount(t *testing.T) {
 	tests := map[string]struct {
 		hosts, limit int
+		accounts     int
 		carried      bool
 		want         int
 	}{
@@ -30,6 +31,9 @@
 		"a thousand hosts":                          {hosts: 1012, limit: 58, want: 1},
 		"many connections bear more carriers":       {hosts: 300, limit: 160, want: 4},
 		"fewer connections than failure domains":    {hosts: 300, limit: 3, want: 1},
+		"accounts need more":                        {hosts: 32, limit: 78, accounts: 83, want: 1},
+		"accounts at few hosts need carriers too":   {hosts: 8, limit: 78, accounts: 83, want: 1},
+		"two accounts at four hosts":                {hosts: 4, limit: 78, accounts: 2},
 		"just enough for a group not carried":       {hosts: 29, limit: 58},
 		"just enough does not move a carried group": {hosts: 29, limit: 58, carried: true, want: 1},
 	}
@@ -37,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			hosts := fleet(test.hosts)
 			p := placer.New(hosts[0], hosts)
-			got := p.CarriersPerDomain(test.limit, test.carried)
+			got := p.CarriersPerDomain(test.limit, test.accounts, test.carried)
 			if got != test.want {
 				t.Errorf("carriers in each domain: got %d, want %d", got, test.want)
 			}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -3,6 +3,7 @@
 package pooler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/heatherhall/heatherhall/scheduler"
@@ -25,8 +26,9 @@
 
 // idle is an unused connection and the time at which it became idle.
 type idle struct {
-	conn  Conn
-	since timekeeper.Millis
+	conn    Conn
+	account string
+	since   timekeeper.Millis
 }
 
 // Pool holds the connections of one daemon to one backend server. It is not
@@ -37,9 +39,14 @@
 	minIdle  int
 	minOpen  int
 	share    int
-	idle     []idle
-	busy     map[Conn]bool
-	opening  map[Conn]bool
+	// idle are the unused connections, the one that is idle for longest first.
+	idle []idle
+	// busy and opening hold the accounts of the connections; empty for one without an
+	// account.
+	busy    map[Conn]string
+	opening map[Conn]string
+	// accounts holds the state of the accounts that have connections.
+	accounts map[string]*account
 	// openAfter is the end of the last openBackoff.
 	openAfter timekeeper.Millis
 	// idleLimit is how long connections beyond the minimum stay idle.
@@ -53,7 +60,10 @@
 // from all daemons, minIdle how many idle connections are kept open ahead of
 // demand, and nextConn returns the ids of new connections.
 func New(limit, minIdle int, nextConn func() Conn) *Pool {
-	return &Pool{nextConn: nextConn, limit: limit, minIdle: minIdle, share: limit, busy: map[Conn]bool{}, opening: map[Conn]bool{}, idleLimit: defaultIdleLimit}
+	return &Pool{
+		nextConn: nextConn, limit: limit, minIdle: minIdle, share: limit, idleLimit: defaultIdleLimit,
+		busy: map[Conn]string{}, opening: map[Conn]string{}, accounts: map[string]*account{},
+	}
 }
 
 // WithIdleLimit sets how long connections beyond the minimum stay idle, and
@@ -98,7 +108,7 @@
 
 // CanTake reports whether Take would return a connection for work of a rank.
 func (p *Pool) CanTake(rank scheduler.Rank) bool {
-	return len(p.idle) > 0 && p.allowed(rank)
+	return p.CanTakeAs(rank, "")
 }
 
 // allowed reports whether work of a rank may use one more connection. The last
@@ -110,69 +120,77 @@
 	return len(p.busy) < max(1, p.share-p.share/urgentReserve)
 }
 
-// Take returns an idle connection for work of a rank, the last used one first.
-// It returns false if no connection is idle or the rank may not use one more.
+// Take returns an idle connection without an account for work of a rank, the last
+// used one first. It returns false if no connection is idle or the rank may not use
+// one more.
 func (p *Pool) Take(rank scheduler.Rank) (Conn, bool) {
-	if !p.CanTake(rank) {
-		return 0, false
-	}
-	last := len(p.idle) - 1
-	conn := p.idle[last].conn
-	p.idle = p.idle[:last]
-	p.busy[conn] = true
-	return conn, true
+	return p.TakeAs(rank, "")
 }
 
 // Put makes a connection idle again. Its answers must have been read
 // completely, and no transaction may be open on it.
 func (p *Pool) Put(now timekeeper.Millis, conn Conn) {
-	if !p.busy[conn] {
+	name, found := p.busy[conn]
+	if !found {
 		return
 	}
 	delete(p.busy, conn)
-	p.idle = append(p.idle, idle{conn: conn, since: now})
+	p.addIdle(now, conn, name)
 }
 
 // MarkOpen records that a connection was opened and is idle. It returns false
 // if the pool was not opening it.
 func (p *Pool) MarkOpen(now timekeeper.Millis, conn Conn) bool {
-	if !p.opening[conn] {
+	name, found := p.opening[conn]
+	if !found {
 		return false
 	}
 	delete(p.opening, conn)
-	p.idle = append(p.idle, idle{conn: conn, since: now})
+	p.account(name).opening--
+	p.addIdle(now, conn, name)
 	return true
 }
 
 // Remove removes a connection that was closed or could not be opened. If it was
 // being opened, no other is opened for openBackoff.
 func (p *Pool) Remove(now timekeeper.Millis, conn Conn) {
-	if p.opening[conn] {
+	if name, found := p.opening[conn]; found {
 		p.openAfter = now + openBackoff
+		delete(p.opening, conn)
+		p.account(name).opening--
+		p.countClosed(name)
+		return
+	}
+	if name, found := p.busy[conn]; found {
+		delete(p.busy, conn)
+		p.countClosed(name)
+		return
+	}
+	if at := slices.IndexFunc(p.idle, func(i idle) bool { return i.conn == conn }); at >= 0 {
+		p.removeIdle(at)
 	}
-	delete(p.opening, conn)
-	delete(p.busy, conn)
-	p.idle = slices.DeleteFunc(p.idle, func(i idle) bool { return i.conn == conn })
 }
 
 // Has reports whether the connection is in the pool.
 func (p *Pool) Has(conn Conn) bool {
-	return p.busy[conn] || p.opening[conn] || slices.ContainsFunc(p.idle, func(i idle) bool { return i.conn == conn })
+	_, busy := p.busy[conn]
+	_, opening := p.opening[conn]
+	return busy || opening || slices.ContainsFunc(p.idle, func(i idle) bool { return i.conn == conn })
 }
 
 // RemoveIdle removes all idle connections and returns them for closing, for
 // example because their network path may be broken.
 func (p *Pool) RemoveIdle() []Conn {
 	var out []Conn
-	for _, i := range p.idle {
-		out = append(out, i.conn)
+	for len(p.idle) > 0 {
+		out = append(out, p.idle[0].conn)
+		p.removeIdle(0)
 	}
-	p.idle = nil
 	return out
 }
 
 // Plan returns the connections to open and the surplus connections to close.
-// demand is how many idle connections are wanted; the minimum of idle ones
+// demand is how many idle connections without an account are wanted; the minimum of idle ones
 // applies if it is higher. No more connections are opened than the share allows,
 // and none during openBackoff.
 func (p *Pool) Plan(now timekeeper.Millis, demand int) (toOpen, toClose []Conn) {
@@ -180,11 +198,17 @@
 	if now < p.openAfter {
 		return nil, toClose
 	}
-	wanted := max(max(demand, p.minIdle)-len(p.idle)-len(p.opening), p.minOpen-p.Size())
+	plain := p.account("")
+	wanted := max(max(demand, p.minIdle)-plain.idle-plain.opening, p.minOpen-plain.open)
+	for demand > p.minIdle && p.Size() >= p.share && wanted > p.share-p.Size() {
+		evicted, found := p.evict(now, "")
+		if !found {
+			break
+		}
+		toClose = append(toClose, evicted.Conn)
+	}
 	for range min(wanted, p.share-p.Size()) {
-		conn := p.nextConn()
-		p.opening[conn] = true
-		toOpen = append(toOpen, conn)
+		toOpen = append(toOpen, p.open(""))
 	}
 	return toOpen, toClose
 }
@@ -193,18 +217,25 @@
 // those that were idle for too long. It returns them for closing.
 func (p *Pool) removeSurplus(now timekeeper.Millis) []Conn {
 	var out []Conn
-	for len(p.idle) > 0 {
-		oldest, limit := p.idle[0], p.idleLimit
+	for at := 0; at < len(p.idle); {
+		oldest, limit := p.idle[at], p.idleLimit
 		if p.surplusIdleLimit > 0 && p.Size() > 1 {
 			limit = p.surplusIdleLimit
 		}
 		overShare := p.Size() > p.share
-		expired := len(p.idle) > p.minIdle && p.Size() > p.minOpen && now-oldest.since > limit
-		if !overShare && !expired {
-			break
+		expired := p.Idle("") > p.minIdle && p.account("").open > p.minOpen && now-oldest.since > limit
+		if oldest.account != "" {
+			expired = now-oldest.since > cmp.Or(p.surplusIdleLimit, accountIdleLimit)
+		}
+		if overShare || expired {
+			p.removeIdle(at)
+			out = append(out, oldest.conn)
+			continue
+		}
+		if p.account("").open == p.Size() {
+			break // the others have been idle for less long
 		}
-		p.idle = p.idle[1:]
-		out = append(out, oldest.conn)
+		at++
 	}
 	return out
 }
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -254,7 +254,7 @@
 		connect = p.peerClient.Relay
 	}
 	dial, cancel := p.callContext(ctx)
-	conn, answer, err := connect(dial, c.Server)
+	conn, answer, err := connect(dial, c.Server, c.Account)
 	cancel()
 	if err != nil {
 		p.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.ConnLost(now, id) })
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -41,14 +41,14 @@
 
 // connectFor opens a connection to a backend server for another daemon. It fails with
 // KindUnresponsive if this daemon does not reach the server directly either.
-func (p *Proxy) connectFor(ctx context.Context, server cataloger.Server) (detourer.ServerConn, multiplexer.Answer, error) {
+func (p *Proxy) connectFor(ctx context.Context, server cataloger.Server, account string) (detourer.ServerConn, multiplexer.Answer, error) {
 	p.mu.Lock()
 	reachable := p.mux.ReachesDirectly(server)
 	p.mu.Unlock()
 	if !reachable {
 		return detourer.ServerConn{}, multiplexer.Answer{}, &Error{Op: "connect for another daemon", Kind: KindUnresponsive, Text: server.ID}
 	}
-	return p.deps.Connect(ctx, server)
+	return p.deps.Connect(ctx, server, account)
 }
 
 // storeRecentlyFailed reports whether the direct path to the store failed within
--- a/scheduler/flow.go
+++ b/scheduler/flow.go
@@ -30,6 +30,8 @@
 	queuedCost float64
 	waiting    [lanes]fifo
 	heapIndex  [lanes]int
+	// parked says that the flow's work in a lane is not examined until Unpark.
+	parked [lanes]bool
 }
 
 func newFlow(customer string) *flow {
@@ -138,7 +140,7 @@
 // reposition inserts, moves or removes the flow after a change of its start
 // tag, limit or work.
 func (h *flowHeap) reposition(f *flow) {
-	wanted := f.waiting[h.lane].len() > 0 && !f.blocked()
+	wanted := f.waiting[h.lane].len() > 0 && !f.blocked() && !f.parked[h.lane]
 	queued := f.heapIndex[h.lane] != notInHeap
 	switch {
 	case wanted && queued:
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -49,6 +49,8 @@
 	capacity [lanes]float64
 	// skipped are the flows that the current search has taken out of the heap.
 	skipped []*flow
+	// parking says that the current search parks the customer that it examines.
+	parking bool
 }
 
 // New returns an empty queue that accepts at most limit items.
@@ -143,7 +145,7 @@
 	if rate > 0 {
 		wait = min(wait, state.queuedCost/rate)
 	}
-	active := max(state.heap.Len(), 1)
+	active := max(state.heap.Len()+state.parked, 1)
 	if state.queuedCost > 0 {
 		wait = min(wait, wait*f.queuedCost*float64(active)/state.queuedCost)
 	}
@@ -195,17 +197,23 @@
 
 // popRank removes and returns the next item of a rank in the open lanes that
 // fits. It skips customers whose next item does not fit, and gives up after
-// maxSkippedFlows of them.
+// maxSkippedFlows of them, not counting those that are parked.
 func (q *Queue) popRank(rank Rank, open [2]bool, fits func(Item) bool) (Item, bool) {
 	r := &q.ranks[rank]
 	defer q.restoreSkipped(r)
-	for range maxSkippedFlows {
+	for skipped := 0; skipped < maxSkippedFlows; skipped++ {
 		f, lane := r.first(open)
 		if f == nil {
 			return Item{}, false
 		}
 		if !fits(f.waiting[lane].peek()) {
 			r.lanes[lane].heap.remove(f)
+			if q.parking {
+				f.parked[lane], q.parking = true, false
+				r.lanes[lane].parked++
+				skipped--
+				continue
+			}
 			q.skipped = append(q.skipped, f)
 			continue
 		}
@@ -216,6 +224,24 @@
 	return Item{}, false
 }
 
+// Park is called by the fits function of Pop, which then returns false: the
+// customer's work of the item's rank and lane is not examined again before Unpark.
+// Customers that wait for something of their own, like a connection, so take no time
+// from the search for one whose work fits.
+func (q *Queue) Park() {
+	q.parking = true
+}
+
+// Unpark lets Pop examine a customer's work again.
+func (q *Queue) Unpark(customer string) {
+	for i := range q.ranks {
+		if f := q.ranks[i].flows[customer]; f != nil {
+			q.ranks[i].unpark(f)
+			q.ranks[i].reposition(f)
+		}
+	}
+}
+
 // restoreSkipped puts the skipped flows back into the heaps.
 func (q *Queue) restoreSkipped(r *rankQueue) {
 	for _, f := range q.skipped {
--- a/scheduler/rankqueue.go
+++ b/scheduler/rankqueue.go
@@ -15,6 +15,8 @@
 // primary.
 type laneState struct {
 	heap flowHeap
+	// parked is how many flows are parked.
+	parked int
 	// credit is the credit of the rank in this lane, in milliseconds of work
 	// (deficit round robin).
 	credit float64
@@ -105,6 +107,17 @@
 // its fair share, which must not be forgotten.
 func (r *rankQueue) removeIfIdle(f *flow) {
 	if f.empty() && f.running == 0 && f.startTag <= r.virtualTime {
+		r.unpark(f)
 		delete(r.flows, f.customer)
 	}
 }
+
+// unpark lets the flow return to the heaps with the next reposition.
+func (r *rankQueue) unpark(f *flow) {
+	for lane, parked := range f.parked {
+		if parked {
+			f.parked[lane] = false
+			r.lanes[lane].parked--
+		}
+	}
+}
