Limit accounts' operations across all daemons

Rate limits of the catalog had no effect. The new package limiter grants tokens: gateways ask a coordinator in their domain, and the coordinators of the domains pass parts of an account's rate to each other. The multiplexer holds an operation until its account has a token; the messages travel over the daemons' links.

Tests of multiplexer, detourer, placer and platform pass; the bound is not verified yet.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -109,6 +109,8 @@
 	Connect ConnectFunc
 	// Forward runs the statements that other daemons forward.
 	Forward ForwardHandler
+	// Limits serves messages about rate limits.
+	Limits LimitHandler
 }
 
 // discardLog makes the JSON-RPC library log nothing, such as that a requester did
@@ -173,6 +175,8 @@
 		return c.Scan(call, request.Table)
 	case methodForward, methodEnd, methodPing:
 		return c.handleForward(ctx, r)
+	case methodTokens, methodDemand:
+		return c.handleLimits(r)
 	case methodConnect:
 		return c.connect(ctx, r)
 	case methodRun:
--- /dev/null
+++ b/limiter/coordinator.go
@@ -0,0 +1,303 @@
+package limiter
+
+import (
+	"math"
+
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/observer"
+	"github.com/heatherhall/heatherhall/placer"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+const (
+	// initialTokens is what a bucket holds at most when a coordinator starts, and
+	// takeoverTokens when it takes over or was frozen.
+	initialTokens, takeoverTokens = 4.0, 2.0
+	// minCapacity is the least that a bucket can hold.
+	minCapacity = 4.0
+	// maxDebt is for how long ahead a coordinator grants tokens that may be used only
+	// once they are due. It smooths arrivals at accounts without a burst.
+	maxDebt timekeeper.Millis = 100
+	// demandPeriod is the time between two messages to another domain's coordinator,
+	// and minDemandPeriod that after a change.
+	demandPeriod, minDemandPeriod timekeeper.Millis = 250, 20
+	// silenceLimit is the silence after which the coordinators of two domains presume
+	// that they are cut off from each other.
+	silenceLimit timekeeper.Millis = 1000
+	// demandReserve is how much more than its measured demand a domain is to get.
+	demandReserve = 1.25
+	// minDemand is the demand in operations a second that counts as none.
+	minDemand = 0.05
+)
+
+// tally is what a coordinator knows about an account.
+type tally struct {
+	account cataloger.Account
+	bucket  bucket
+	// counted is how many operations have arrived since countedAt, and demand the
+	// moving average of operations a second.
+	counted   int
+	countedAt timekeeper.Millis
+	demand    float64
+	gifts     map[string]*gift
+	usedAt    timekeeper.Millis
+	// loggedShare is the rate share that was last logged.
+	loggedShare float64
+}
+
+// gift is what passes between this domain and another of one account's rate.
+type gift struct {
+	// given is the part of the rate that the other domain may use from the message
+	// loweredIn on, and charged what it may be using until it has confirmed that.
+	given, charged float64
+	loweredIn      int64
+	// held is the part that this domain may use of the other's.
+	held float64
+	// demand is that of the other domain.
+	demand float64
+}
+
+// peer is the coordinator of another domain for a shard.
+type peer struct {
+	host  placer.Host
+	hosts int
+	// from and epoch identify the sender of the last message, heard is its number and
+	// heardAt when it arrived, 0 if none has.
+	from    string
+	epoch   int64
+	heard   int64
+	heardAt timekeeper.Millis
+	// sent is the number of the last message to the domain, and confirmed of the last
+	// that it has confirmed.
+	sent, confirmed int64
+	nextSend        timekeeper.Millis
+	// toldEntries says that the last message named accounts.
+	toldEntries bool
+	// changed says that the peer should hear of a change early.
+	changed bool
+	sentAt  timekeeper.Millis
+	// removedAt is when the domain's last host has disappeared; 0 if it has hosts.
+	removedAt timekeeper.Millis
+}
+
+// Coordinator keeps the token buckets of the shards that are placed on this daemon.
+type Coordinator struct {
+	deps      Deps
+	epoch     int64
+	placement placer.Placement
+	shards    []*shard
+	sweepAt   timekeeper.Millis
+	leaving   bool
+}
+
+func newCoordinator(epoch int64, deps Deps) *Coordinator {
+	return &Coordinator{deps: deps, epoch: epoch}
+}
+
+// shard is the state of one shard's accounts in this domain.
+type shard struct {
+	coord    *Coordinator
+	number   int
+	accounts map[string]*tally
+	peers    map[string]*peer
+	standing
+}
+
+// base returns the rate share of a domain that nobody has any demand of.
+func (s *shard) base(domain string) float64 {
+	total, own := 0, 0
+	for name, p := range s.peers {
+		total += p.hosts
+		if name == domain {
+			own = p.hosts
+		}
+	}
+	self := s.hosts
+	if domain == s.coord.placement.Self().Domain {
+		own = self
+	}
+	return float64(own) / float64(max(total+self, 1))
+}
+
+// tally returns the state of an account, or nil if it has no rate limit.
+func (s *shard) tally(now timekeeper.Millis, name string) *tally {
+	account, found := s.coord.deps.Account(name)
+	if !found || account.RateLimit <= 0 {
+		delete(s.accounts, name)
+		return nil
+	}
+	t := s.accounts[name]
+	if t == nil {
+		t = &tally{gifts: map[string]*gift{}, bucket: bucket{tokens: s.startTokens(), refilledAt: max(s.grantsSince, now-idleRetention)}, countedAt: now}
+		s.accounts[name] = t
+		t.loggedShare = s.base(s.coord.placement.Self().Domain)
+	}
+	t.account, t.usedAt = account, now
+	return t
+}
+
+// gift returns what passes between this domain and another.
+func (t *tally) gift(domain string) *gift {
+	if t.gifts[domain] == nil {
+		t.gifts[domain] = &gift{}
+	}
+	return t.gifts[domain]
+}
+
+// share returns the part of an account's rate that this daemon may grant: the domain's
+// base share without what was given away, and with what other domains have given.
+func (s *shard) share(now timekeeper.Millis, t *tally) float64 {
+	share := s.base(s.coord.placement.Self().Domain)
+	for _, g := range t.gifts {
+		share += g.held - g.charged
+	}
+	return max(0, min(1, share)) * s.part(now)
+}
+
+// refill brings an account's bucket up to date and returns its rate.
+func (s *shard) refill(now timekeeper.Millis, t *tally) float64 {
+	share := s.share(now, t)
+	rate := float64(t.account.RateLimit+1) * share
+	if s.unsettled(now) {
+		rate = 0
+	}
+	t.bucket.refill(now, rate, max(minCapacity, float64(t.account.Burst)*share/2))
+	return rate
+}
+
+// count adds operations to an account's demand.
+func (t *tally) count(now timekeeper.Millis, n int) {
+	if elapsed := now - t.countedAt; elapsed >= demandPeriod {
+		t.demand = (t.demand + float64(t.counted)*1000/float64(elapsed)) / 2
+		if elapsed > 8*demandPeriod {
+			t.demand = 0
+		}
+		t.counted, t.countedAt = 0, now
+	}
+	t.counted += n
+}
+
+// demandNow returns an account's demand. It follows a sudden increase at once.
+func (t *tally) demandNow(now timekeeper.Millis) float64 {
+	const shortest, enough = 50, 3
+	if t.counted < enough {
+		return t.demand
+	}
+	return max(t.demand, float64(t.counted)*1000/float64(max(now-t.countedAt, shortest)))
+}
+
+// Tokens answers a gateway's request.
+func (c *Coordinator) Tokens(now timekeeper.Millis, r TokensRequest) TokensAnswer {
+	if r.Shard >= len(c.shards) {
+		return TokensAnswer{Unavailable: true}
+	}
+	s := c.shards[r.Shard]
+	s.updateGranting(now)
+	if s.part(now) == 0 {
+		a := TokensAnswer{Unavailable: true}
+		if s.role == roleNone && len(s.order) > 0 {
+			a.Host, a.Address = s.order[0].Name, s.order[0].Address
+		}
+		return a
+	}
+	a := TokensAnswer{Items: make([]TokensGrant, 0, len(r.Items))}
+	for _, item := range r.Items {
+		a.Items = append(a.Items, s.grant(now, item))
+	}
+	return a
+}
+
+// grant takes tokens for one item of a request.
+func (s *shard) grant(now timekeeper.Millis, item TokensItem) TokensGrant {
+	out := TokensGrant{Account: item.Account}
+	t := s.tally(now, item.Account)
+	if t == nil {
+		out.Granted, out.Ahead = item.Need, 0
+		return out
+	}
+	t.count(now, item.Demand)
+	s.rebalance(now, t)
+	rate := s.refill(now, t)
+	t.bucket.tokens = max(t.bucket.tokens-float64(item.Charged), -float64(t.account.RateLimit))
+	out.Granted = t.bucket.take(item.Need, rate*float64(maxDebt)/1000)
+	out.Wait = t.bucket.due(0, rate)
+	if out.Granted == item.Need && t.bucket.tokens > 0 {
+		// Tokens that expire unused are lost to the account, so half of them stay here.
+		out.Ahead = t.bucket.take(min(item.Ahead, int(t.bucket.tokens/2)), 0)
+	}
+	if out.Granted < item.Need {
+		out.Retry = max(1, t.bucket.due(1, rate))
+		limit := max(1, float64(t.account.RateLimit)*max(s.share(now, t), 0.01))
+		out.Spread = timekeeper.Millis(min(float64(maxRetry), 1000*t.demandNow(now)/limit))
+	}
+	return out
+}
+
+// rebalance decides what part of an account's rate each other domain may use, from the
+// demand of all domains.
+func (s *shard) rebalance(now timekeeper.Millis, t *tally) {
+	if len(s.peers) == 0 || s.role != roleFirst {
+		return
+	}
+	own := s.coord.placement.Self().Domain
+	limit := float64(t.account.RateLimit)
+	total := demandReserve * t.demandNow(now)
+	for name := range s.peers {
+		total += demandReserve * t.gift(name).demand
+	}
+	target := func(domain string, demand float64) float64 {
+		if total < limit {
+			return (demandReserve*demand + (limit-total)*s.base(domain)) / limit
+		}
+		return demandReserve * demand / total
+	}
+	surplus := s.base(own) - target(own, t.demandNow(now))
+	missing := 0.0
+	for name := range s.peers {
+		missing += max(0, target(name, t.gift(name).demand)-s.base(name))
+	}
+	for _, name := range sortedBy(s.peers) {
+		p, g := s.peers[name], t.gift(name)
+		if p.heardAt == 0 || now-p.heardAt > silenceLimit {
+			continue // it goes on with what it has
+		}
+		given := 0.0
+		if surplus > 0 && missing > 0 {
+			given = min(1, surplus/missing) * max(0, target(name, g.demand)-s.base(name))
+		}
+		s.give(p, g, given)
+	}
+	s.logShare(now, t)
+}
+
+// minGiftChange is the change of a gift below which the other domain isn't told.
+const minGiftChange = 0.01
+
+// give changes what another domain may use. An increase counts against this domain at
+// once, a decrease only once the other has confirmed it.
+func (s *shard) give(p *peer, g *gift, given float64) {
+	if math.Abs(given-g.given) < minGiftChange && (given > 0 || g.given == 0) {
+		return
+	}
+	if given < g.given {
+		g.loweredIn = p.sent + 1
+	}
+	if math.Abs(given-g.given) > 5*minGiftChange {
+		p.changed = true
+	}
+	g.given = given
+	g.charged = max(g.charged, given)
+}
+
+// logShare logs a rate share that has changed by more than a tenth of the rate.
+func (s *shard) logShare(now timekeeper.Millis, t *tally) {
+	share := s.share(now, t)
+	if math.Abs(share-t.loggedShare) <= 0.1 {
+		return
+	}
+	s.coord.deps.Log(observer.Decision{Part: "account " + t.account.Name, Outcome: "rate share changed", Inputs: []observer.Field{
+		observer.F("percent", int(100*share)), observer.F("before", int(100*t.loggedShare)), observer.F("demand", int(t.demandNow(now))),
+		observer.F("limit", t.account.RateLimit), observer.F("domains", len(s.peers)+1),
+	}})
+	t.loggedShare = share
+}
--- a/multiplexer/account.go
+++ b/multiplexer/account.go
@@ -84,8 +84,16 @@
 	account, denial := m.resolveAccount(now, s, d)
 	if j := s.job; j != nil {
 		changed := denial.Code != CodeOK || account != j.account
-		if changed && j.step == stepQueued && j.group.waiting[j.id] == j {
+		switch {
+		case !changed:
+		case j.step == stepAdmission:
+			m.cancelAdmission(j)
+		case j.step == stepQueued && j.group.waiting[j.id] == j:
 			j.group.unqueue(j)
+		default:
+			changed = false
+		}
+		if changed {
 			if denial.Code == CodeOK {
 				denial = Answer{Code: CodeNotRun, Text: "the key belongs to another account now", RetryAfter: 1}
 			}
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -172,7 +172,7 @@
 		m.forward(now, j, s.tx.carrier, StartContinue)
 	default:
 		j.group.retryBudget = min(retryBudgetCap, j.group.retryBudget+retryRefill)
-		m.place(now, j)
+		m.admit(now, j)
 	}
 }
 
@@ -325,6 +325,7 @@
 			j.group.reject(now, j, defaultRetryDelay, reason)
 			return
 		}
+		m.charge(now, j)
 		m.forwardElsewhere(now, j)
 	}
 }
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -21,6 +21,8 @@
 	stepRun
 	// stepForwarded waits for the answer of a carrier.
 	stepForwarded
+	// stepAdmission waits for a token of the account.
+	stepAdmission
 )
 
 // job is one statement of a client that a server must run.
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -47,7 +47,9 @@
 	// paths the paths to carriers, by name.
 	forwards  map[uint64]*job
 	workCount uint64
-	paths     map[string]*carrierPath
+	// admissions are the jobs that wait for a token, by id.
+	admissions map[string]*job
+	paths      map[string]*carrierPath
 	// forwarded are the sessions that stand for other daemons' clients.
 	// finished are the numbers of ended work with the time of the end, and
 	// finishedDue is when the old ones are forgotten next.
@@ -69,15 +71,16 @@
 		deps.Log = func(Decision) {}
 	}
 	return &Multiplexer{
-		settings:  settings,
-		deps:      deps,
-		sessions:  map[uint64]*session{},
-		groups:    map[string]*group{},
-		conns:     map[pooler.Conn]*conn{},
-		forwards:  map[uint64]*job{},
-		paths:     map[string]*carrierPath{},
-		forwarded: map[forwardedWork]*session{},
-		finished:  map[forwardedWork]timekeeper.Millis{},
+		settings:   settings,
+		deps:       deps,
+		sessions:   map[uint64]*session{},
+		groups:     map[string]*group{},
+		conns:      map[pooler.Conn]*conn{},
+		forwards:   map[uint64]*job{},
+		admissions: map[string]*job{},
+		paths:      map[string]*carrierPath{},
+		forwarded:  map[forwardedWork]*session{},
+		finished:   map[forwardedWork]timekeeper.Millis{},
 	}
 }
 
@@ -352,6 +355,7 @@
 		m.updatePoolLimits()
 	}
 	m.tickForwards(now)
+	m.tickAdmissions(now)
 	m.tickFinished(now)
 	m.tickSessions(now)
 	m.updateIsolation(now)
@@ -391,7 +395,7 @@
 
 // InFlight returns the number of queued and running statements.
 func (m *Multiplexer) InFlight() int {
-	total := len(m.forwards)
+	total := len(m.forwards) + len(m.admissions)
 	for _, g := range m.groups {
 		total += g.queue.Len() + len(g.running)
 	}
--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -133,8 +133,13 @@
 	delete(m.sessions, id)
 	s.closed = true
 	s.pipelined = nil
-	if s.job != nil && s.job.conn == nil && s.job.step != stepForwarded {
-		s.job.group.cancelWaiting(s.job)
+	switch j := s.job; {
+	case j == nil:
+	case j.step == stepAdmission:
+		m.cancelAdmission(j)
+		s.job = nil
+	case j.conn == nil && j.step != stepForwarded:
+		j.group.cancelWaiting(j)
 	}
 	if s.job == nil && s.tx != nil {
 		m.endTransactionForward(s)
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -1,6 +1,8 @@
 package multiplexer
 
 import (
+	"github.com/heatherhall/heatherhall/cataloger"
+	"github.com/heatherhall/heatherhall/limiter"
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -57,4 +59,10 @@
 	// Count adds the outcome of a statement to the metrics; took is the
 	// statement's time from arrival to answer.
 	Count func(code Code, rank scheduler.Rank, took timekeeper.Millis)
+	// Admit asks for a token for a job of an account with a rate limit. The outcome of a
+	// job that waits is passed to Admitted, unless CancelAdmission ends the wait.
+	Admit           func(now timekeeper.Millis, id string, account cataloger.Account) limiter.Decision
+	CancelAdmission func(id, account string)
+	// Charge takes a token for a run of a job that may have run before.
+	Charge func(now timekeeper.Millis, account cataloger.Account)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,10 +35,11 @@
 
 // Placement is a daemon's view of the live daemons. It is immutable.
 type Placement struct {
-	self    Host
-	hosts   []Host
-	local   []Host
-	domains int
+	self  Host
+	hosts []Host
+	local []Host
+	// domains holds the number of daemons of each failure domain.
+	domains map[string]int
 	partial bool
 }
 
@@ -46,10 +47,10 @@
 // or may not include it.
 func New(self Host, hosts []Host) Placement {
 	p := Placement{self: self}
-	domains := map[string]bool{self.Domain: true}
+	p.domains = map[string]int{}
 	add := func(h Host) {
 		p.hosts = append(p.hosts, h)
-		domains[h.Domain] = true
+		p.domains[h.Domain]++
 		if h.Domain == self.Domain {
 			p.local = append(p.local, h)
 		}
@@ -61,7 +62,6 @@
 		}
 	}
 	slices.SortFunc(p.hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	p.domains = len(domains)
 	return p
 }
 
@@ -87,6 +87,11 @@
 	return max(len(p.hosts), 1)
 }
 
+// Domains returns how many live daemons each failure domain has. It must not be changed.
+func (p Placement) Domains() map[string]int {
+	return p.domains
+}
+
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
 	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts)
@@ -103,7 +108,7 @@
 	if limit >= needed*p.HostCount() {
 		return 0
 	}
-	return max(1, limit/(max(p.domains, 1)*connsPerCarrier))
+	return max(1, limit/(max(len(p.domains), 1)*connsPerCarrier))
 }
 
 // Sharers returns how many daemons share the connections to the servers of a
@@ -112,7 +117,7 @@
 	if carriersPerDomain == 0 {
 		return p.HostCount()
 	}
-	return min(p.HostCount(), carriersPerDomain*max(p.domains, 1))
+	return min(p.HostCount(), carriersPerDomain*max(len(p.domains), 1))
 }
 
 // Order returns the daemons of this daemon's failure domain in the order in
@@ -120,13 +125,44 @@
 // same hosts get the same order, and the loss of a host moves only the groups
 // that it carried.
 func (p Placement) Order(group string) []Host {
+	return order(p.local, group)
+}
+
+// OrderIn returns the daemons of any failure domain in the order in which they are to
+// take a role that is named by key.
+func (p Placement) OrderIn(domain, key string) []Host {
+	if domain == p.self.Domain {
+		return order(p.local, key)
+	}
+	var hosts []Host
+	for _, h := range p.hosts {
+		if h.Domain == domain {
+			hosts = append(hosts, h)
+		}
+	}
+	return order(hosts, key)
+}
+
+// Rank returns the position of this daemon in its failure domain's order for key.
+func (p Placement) Rank(key string) int {
+	rank, own := 0, xxhash.Sum64String(p.self.Name+"/"+key)
+	for _, h := range p.local {
+		if w := xxhash.Sum64String(h.Name + "/" + key); w > own || w == own && h.Name < p.self.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
+// order sorts hosts by their rendezvous hash with a key.
+func order(hosts []Host, key string) []Host {
 	type weighted struct {
 		host   Host
 		weight uint64
 	}
-	all := make([]weighted, 0, len(p.local))
-	for _, h := range p.local {
-		all = append(all, weighted{h, xxhash.Sum64String(h.Name + "/" + group)})
+	all := make([]weighted, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, weighted{h, xxhash.Sum64String(h.Name + "/" + key)})
 	}
 	slices.SortFunc(all, func(a, b weighted) int {
 		if a.weight != b.weight {
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/elector"
+	"github.com/heatherhall/heatherhall/limiter"
 	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/placer"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -16,12 +17,15 @@
 type core struct {
 	mux      *multiplexer.Multiplexer
 	elector  *elector.Elector
+	limits   *limiter.Limiter
 	grace    registrationGrace
 	settings Settings
 }
 
 func newCore(settings Settings, muxDeps multiplexer.Deps, electorDeps elector.Deps) *core {
-	c := &core{settings: settings, mux: multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), muxDeps)}
+	c := &core{settings: settings}
+	c.limits = newLimits(settings, &muxDeps, func(name string) (cataloger.Account, bool) { return c.mux.Account(name) })
+	c.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), muxDeps)
 	electorDeps.PrimaryHealth, electorDeps.SynchronousReplicas = c.mux.PrimaryHealth, c.mux.SynchronousReplicas
 	c.elector = elector.New(settings.Elector, electorDeps)
 	return c
@@ -41,6 +45,7 @@
 func (c *core) tick(now timekeeper.Millis, storeUnreachable bool) ([]multiplexer.Command, []elector.Command) {
 	c.mux.SetStoreUnreachable(now, storeUnreachable)
 	out := c.mux.Tick(now)
+	c.tickLimits(now)
 	more, remaining := c.applyElector(now, c.elector.Tick(now))
 	return append(out, more...), remaining
 }
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -167,6 +167,7 @@
 			p.executeForward(command)
 		}
 	}
+	p.executeLimits()
 }
 
 // withElector calls f under the lock, passes the elector's new state on to the
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -170,6 +170,7 @@
 	startedAt := p.clock.Now()
 	p.mu.Lock()
 	p.mux.Drain()
+	p.limits.Leave()
 	sessions := p.mux.SessionCount()
 	p.mu.Unlock()
 	p.log.LogDecision(observer.Decision{Part: "daemon", Outcome: "shuts down", Inputs: []observer.Field{observer.F("sessions", sessions)}})
--- a/proxier/store.go
+++ b/proxier/store.go
@@ -32,6 +32,7 @@
 		FetchCached: p.serveCached,
 		Connect:     p.connectFor,
 		Forward:     p.forwardHandler(),
+		Limits:      p.limitHandler(),
 		Transact: func(ctx context.Context, request detourer.TransactionRequest) elector.Result {
 			result, _ := p.deps.Transact(ctx, Table(request.Table), request.Transaction)
 			return result
