--- a/multiplexer/account_test.go
+++ b/multiplexer/account_test.go
@@ -7,9 +7,9 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// accountCatalog returns a catalog with a closed and an open database, in which
+// keyCatalog returns a catalog with a closed and an open database, in which
 // each account has the keys listed under its name.
-func accountCatalog(version int64, keys map[string][]string) cataloger.Catalog {
+func keyCatalog(version int64, keys map[string][]string) cataloger.Catalog {
 	var accounts []cataloger.Account
 	for name, list := range keys {
 		a := cataloger.Account{Name: name}
@@ -24,11 +24,11 @@
 	}, []cataloger.Group{{Name: testGroup, ConnectionLimit: 16}}).WithAccounts(accounts)
 }
 
-// newAccountHarness returns a harness with the catalog of one account, whose key is
+// newKeyHarness returns a harness with the catalog of one account, whose key is
 // "key-a".
-func newAccountHarness(t *testing.T) *harness {
+func newKeyHarness(t *testing.T) *harness {
 	h := newHarness(t, 20)
-	h.execute(h.m.SetCatalog(h.Now(), accountCatalog(2, map[string][]string{"a": {"key-a"}})))
+	h.execute(h.m.SetCatalog(h.Now(), keyCatalog(2, map[string][]string{"a": {"key-a"}})))
 	h.m.ConfirmCatalog(h.Now())
 	return h
 }
@@ -53,7 +53,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			h := newAccountHarness(t)
+			h := newKeyHarness(t)
 			if a := h.m.Connect(h.Now()+tt.catalogAge, 1, tt.database, tt.key); a.Code != tt.want {
 				t.Errorf("got %v, want %v", a, tt.want)
 			}
@@ -65,7 +65,7 @@
 // that list it.
 func TestKeyInTwoAccounts(t *testing.T) {
 	h := newHarness(t, 20)
-	h.execute(h.m.SetCatalog(h.Now(), accountCatalog(2, map[string][]string{"a": {"shared", "key-a"}, "b": {"shared"}})))
+	h.execute(h.m.SetCatalog(h.Now(), keyCatalog(2, map[string][]string{"a": {"shared", "key-a"}, "b": {"shared"}})))
 	if a := h.m.Connect(h.Now(), 1, "closed", "shared"); a.Code != CodeDenied {
 		t.Errorf("the shared key got %v, want denied", a.Code)
 	}
@@ -99,7 +99,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			h := newAccountHarness(t)
+			h := newKeyHarness(t)
 			if a := h.m.Connect(h.Now(), 1, "closed", "key-a"); a.Code != CodeOK {
 				t.Fatalf("connect: %v", a)
 			}
@@ -115,7 +115,7 @@
 					t.Fatalf("statement before the change: %v", a)
 				}
 			}
-			h.execute(h.m.SetCatalog(h.Now(), accountCatalog(3, next[tt.change])))
+			h.execute(h.m.SetCatalog(h.Now(), keyCatalog(3, next[tt.change])))
 			if a := run(tt.last); a.Code != tt.want {
 				t.Errorf("after the change got %v %q, want %v", a.Code, a.Text, tt.want)
 			}
@@ -129,12 +129,12 @@
 // TestQueuedStatementLosesItsKey guards against a queued statement that starts after
 // its key was taken away.
 func TestQueuedStatementLosesItsKey(t *testing.T) {
-	h := newAccountHarness(t)
+	h := newKeyHarness(t)
 	h.setPrimary("s0", 1, true) // statements wait for the end of the change
 	h.m.groups[testGroup].lease.ResumeAt = h.Now() + 300
 	var code Code
 	h.runStatement("closed", "key-a", Statement{ID: "x", Kind: KindWrite, Args: "item data"}, func(a Answer, _ timekeeper.Millis) { code = a.Code })
-	h.execute(h.m.SetCatalog(h.Now(), accountCatalog(3, map[string][]string{"a": {}})))
+	h.execute(h.m.SetCatalog(h.Now(), keyCatalog(3, map[string][]string{"a": {}})))
 	ran := h.servers["s0"].ran
 	h.setPrimary("s0", 1, false)
 	h.run(500)
@@ -159,7 +159,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			h := newAccountHarness(t)
+			h := newKeyHarness(t)
 			r := ForwardRequest{
 				Work: 1, Statement: Statement{ID: "x", Kind: KindWrite, Args: "item data"}, Account: "b", Catalog: tt.catalog, Left: 500,
 				Database: cataloger.Database{Name: "closed", Group: testGroup, Timeout: 800, Closed: true},
