--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -350,7 +350,7 @@
 		server = "carrier " + j.carrier.Name
 	}
 	m.deps.Log(Decision{Part: "request", Request: j.statement.ID, Outcome: a.Code.String(), Inputs: []observer.Field{
-		observer.F("database", j.database.Name), observer.F("server", server), observer.F("rank", int(j.database.Rank)),
+		observer.F("database", j.database.Name), observer.F("account", j.account), observer.F("server", server), observer.F("rank", int(j.database.Rank)),
 		observer.F("attempts", j.attempts), observer.F("took", int64(now-j.arrived)), observer.F("queued", int64(j.queueTime(now))),
 		observer.F("floor", j.floor.String()), observer.F("position", a.Position.String()),
 		observer.F("primary", j.group.lease.Server), observer.F("term", j.group.lease.Term), observer.F("authority", int64(j.group.lease.ValidUntil-now)),
