Evict the connections that are needed least, and share a server among accounts

Eviction by age alone starts more connections than needed, and an account with much work could hold all connections of a server.

The pool expects an account's next use of its n-th connection from its past uses (half-life 60 s) and evicts the one that is needed least often. An account holds at most half of the share while others use the server, evicts for a further connection only one that is needed less, and gets no further one while its others are expected to be idle before one would be open. A request that has waited 25 ms may take the connection of an account whose own statements wait. After a refusal by a full server the pool stays at its size for 3 s and then grows slowly. Counters of connections opened, evicted and reused; a log line for each eviction.

--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -27,6 +27,7 @@
 		m.closeConn(now, id)
 		return m.takeCommands()
 	}
+	g.recordConnectTime(now - c.sent)
 	g.examine(c.account)
 	g.dispatchQueued(now)
 	return m.takeCommands()
@@ -40,6 +41,9 @@
 	}
 	s := c.server
 	g := m.group(s.Group)
+	if a.Code == CodeTooManyConnections && m.catalog.HasClosed(s.Group) {
+		s.pool.Refuse(now, id)
+	}
 	m.removeConn(now, c)
 	g.log("connection refused", observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("open", s.pool.Size()))
 	if a.Code == CodeTooManyConnections {
@@ -440,7 +444,6 @@
 		g.checkTimeout(now, j)
 	}
 	g.rejectUnservable(now)
-	g.examineAll()
 	for _, s := range g.servers {
 		if since := s.oldestUnanswered(); since > 0 && now-since > unresponsiveFactor*g.mux.settings.MinAnswerTimeout && !s.unresponsive {
 			g.markUnresponsive(now, s, "answers are outstanding")
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -92,7 +92,12 @@
 			accounts = g.mux.catalog.AccountCount()
 		}
 		g.carrierCount = placement.CarriersPerDomain(config.ConnectionLimit, accounts, before > 0)
-		g.sharers = placement.Sharers(g.carrierCount)
+		sharers := placement.Sharers(g.carrierCount)
+		if placement.Partial() && accounts > 0 {
+			// The unknown hosts may use the servers too.
+			sharers = max(sharers, g.sharers)
+		}
+		g.sharers = sharers
 	}
 	if g.carrierCount == 0 {
 		g.carriers = nil
--- a/multiplexer/carrier_test.go
+++ b/multiplexer/carrier_test.go
@@ -233,9 +233,14 @@
 
 // ask runs one statement of a client of the daemon.
 func (d *fleetDaemon) ask(database string, st Statement, done func(Answer, timekeeper.Millis)) uint64 {
+	return d.askAs(database, database, st, done)
+}
+
+// askAs runs one statement of a client with a key.
+func (d *fleetDaemon) askAs(database, key string, st Statement, done func(Answer, timekeeper.Millis)) uint64 {
 	d.sessions++
 	id := d.sessions
-	if a := d.mux.Connect(d.fleet.Now(), id, database, database); a.Code != CodeOK {
+	if a := d.mux.Connect(d.fleet.Now(), id, database, key); a.Code != CodeOK {
 		d.fleet.t.Fatalf("connect: %v", a)
 	}
 	d.again(id, st, done)
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -27,6 +27,9 @@
 	sessionsClosed int
 	// checkSend, unless nil, checks the connection of each Send.
 	checkSend func(*conn)
+	// connectionLimit is how many connections a server accepts, 0 for any number, and
+	// refused counts those that were refused.
+	connectionLimit, refused int
 }
 
 // fakeServer is a backend server with slots and a queue in order of arrival.
@@ -133,6 +136,11 @@
 		h.After(500, func() { h.execute(h.m.ConnLost(h.Now(), c.Conn)) })
 		return
 	}
+	if h.connectionLimit > 0 && s.open >= h.connectionLimit {
+		h.refused++
+		h.After(1, func() { h.execute(h.m.ConnRefused(h.Now(), c.Conn, Answer{Code: CodeTooManyConnections})) })
+		return
+	}
 	h.conns[c.Conn] = s
 	s.open++
 	h.After(12, func() {
@@ -198,18 +206,21 @@
 func (h *harness) stream(database string, st Statement, interval, length timekeeper.Millis, results *counts) {
 	for at := timekeeper.Millis(0); at < length; at += interval {
 		h.After(at, func() {
-			h.runStatement(database, database, st, func(a Answer, took timekeeper.Millis) {
-				switch a.Code {
-				case CodeOK:
-					results.served++
-					results.slowest = max(results.slowest, took)
-				case CodeNotRun:
-					results.rejected++
-					results.slowestRejection = max(results.slowestRejection, took)
-				default:
-					results.failed++
-				}
-			})
+			h.runStatement(database, database, st, results.add)
 		})
 	}
 }
+
+// add counts an answer.
+func (c *counts) add(a Answer, took timekeeper.Millis) {
+	switch a.Code {
+	case CodeOK:
+		c.served++
+		c.slowest = max(c.slowest, took)
+	case CodeNotRun:
+		c.rejected++
+		c.slowestRejection = max(c.slowestRejection, took)
+	default:
+		c.failed++
+	}
+}
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -42,11 +42,13 @@
 	lane     scheduler.Lane
 	item     scheduler.Item
 	step     step
-	// requested says that the job is among the requests for connections.
-	requested bool
-	conn      *conn
-	server    *server
-	floor     sequencer.Position
+	// requested says that the job is among the requests for connections, since
+	// requestedAt.
+	requested   bool
+	requestedAt timekeeper.Millis
+	conn        *conn
+	server      *server
+	floor       sequencer.Position
 	// excluded are the servers that lacked the floor, failed the statement or
 	// did not answer it. No replica among them gets the job again.
 	excluded map[string]bool
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -61,6 +61,8 @@
 	// the daemon is not isolated.
 	storeUnreachable bool
 	isolatedSince    timekeeper.Millis
+	// accountConnCounts counts connections of accounts for the metrics.
+	accountConnCounts AccountConnCounts
 }
 
 // New returns a Multiplexer without a catalog, sessions or servers.
@@ -163,6 +165,9 @@
 func (m *Multiplexer) updatePoolLimits() {
 	for _, g := range m.groups {
 		g.updateCarriers()
+		if m.catalog.HasClosed(g.name) {
+			g.queue.SetSkipLimit(accountSkipLimit)
+		}
 		for _, s := range g.servers {
 			m.setPoolLimits(g, s)
 		}
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -61,6 +61,8 @@
 	prepared map[string]bool
 	// opening says that the server has not accepted the connection yet.
 	opening bool
+	// used says that a statement has run on the connection.
+	used bool
 	// relayed says that the connection goes through another daemon.
 	relayed bool
 	// job is the statement in progress; rollingBack says that a rollback is in
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -29,6 +29,8 @@
 	conn    Conn
 	account string
 	since   timekeeper.Millis
+	// unused says that the connection was never taken.
+	unused bool
 }
 
 // Pool holds the connections of one daemon to one backend server. It is not
@@ -43,10 +45,17 @@
 	idle []idle
 	// busy and opening hold the accounts of the connections; empty for one without an
 	// account.
-	busy    map[Conn]string
+	busy    map[Conn]held
 	opening map[Conn]string
-	// accounts holds the state of the accounts that have connections.
+	// accounts holds the accounts that have connections or have used one not long ago.
 	accounts map[string]*account
+	// holdTime is the mean time in milliseconds for which a connection is taken.
+	holdTime float64
+	// refused counts the openings in a row that the server has refused because of its
+	// limit. Until refusedUntil, the pool stays at refusedSize.
+	refused      int
+	refusedSize  int
+	refusedUntil timekeeper.Millis
 	// openAfter is the end of the last openBackoff.
 	openAfter timekeeper.Millis
 	// idleLimit is how long connections beyond the minimum stay idle.
@@ -62,7 +71,7 @@
 func New(limit, minIdle int, nextConn func() Conn) *Pool {
 	return &Pool{
 		nextConn: nextConn, limit: limit, minIdle: minIdle, share: limit, idleLimit: defaultIdleLimit,
-		busy: map[Conn]string{}, opening: map[Conn]string{}, accounts: map[string]*account{},
+		busy: map[Conn]held{}, opening: map[Conn]string{}, accounts: map[string]*account{},
 	}
 }
 
@@ -124,18 +133,23 @@
 // used one first. It returns false if no connection is idle or the rank may not use
 // one more.
 func (p *Pool) Take(rank scheduler.Rank) (Conn, bool) {
-	return p.TakeAs(rank, "")
+	conn, _, ready := p.take(rank, "")
+	if ready {
+		p.busy[conn] = held{}
+	}
+	return conn, ready
 }
 
 // Put makes a connection idle again. Its answers must have been read
 // completely, and no transaction may be open on it.
 func (p *Pool) Put(now timekeeper.Millis, conn Conn) {
-	name, found := p.busy[conn]
+	h, found := p.busy[conn]
 	if !found {
 		return
 	}
 	delete(p.busy, conn)
-	p.addIdle(now, conn, name)
+	p.holdTime += holdSmoothing * (float64(now-h.since) - p.holdTime)
+	p.addIdle(now, conn, h.account)
 }
 
 // MarkOpen records that a connection was opened and is idle. It returns false
@@ -148,6 +162,8 @@
 	delete(p.opening, conn)
 	p.account(name).opening--
 	p.addIdle(now, conn, name)
+	p.idle[len(p.idle)-1].unused = true
+	p.refused, p.refusedSize = 0, max(p.refusedSize, p.Size()-len(p.opening))
 	return true
 }
 
@@ -161,9 +177,9 @@
 		p.countClosed(name)
 		return
 	}
-	if name, found := p.busy[conn]; found {
+	if h, found := p.busy[conn]; found {
 		delete(p.busy, conn)
-		p.countClosed(name)
+		p.countClosed(h.account)
 		return
 	}
 	if at := slices.IndexFunc(p.idle, func(i idle) bool { return i.conn == conn }); at >= 0 {
@@ -200,14 +216,14 @@
 	}
 	plain := p.account("")
 	wanted := max(max(demand, p.minIdle)-plain.idle-plain.opening, p.minOpen-plain.open)
-	for demand > p.minIdle && p.Size() >= p.share && wanted > p.share-p.Size() {
-		evicted, found := p.evict(now, "")
+	for demand > p.minIdle && p.Size() >= p.sizeLimit(now) && wanted > p.sizeLimit(now)-p.Size() {
+		evicted, found := p.evict(now, "", nil)
 		if !found {
 			break
 		}
 		toClose = append(toClose, evicted.Conn)
 	}
-	for range min(wanted, p.share-p.Size()) {
+	for range min(wanted, p.sizeLimit(now)-p.Size()) {
 		toOpen = append(toOpen, p.open(""))
 	}
 	return toOpen, toClose
@@ -217,17 +233,21 @@
 // those that were idle for too long. It returns them for closing.
 func (p *Pool) removeSurplus(now timekeeper.Millis) []Conn {
 	var out []Conn
+	for p.Size() > p.share && len(p.idle) > 0 {
+		at, _ := p.leastNeeded(now, func(idle) bool { return true })
+		out = append(out, p.idle[at].conn)
+		p.removeIdle(at)
+	}
 	for at := 0; at < len(p.idle); {
 		oldest, limit := p.idle[at], p.idleLimit
 		if p.surplusIdleLimit > 0 && p.Size() > 1 {
 			limit = p.surplusIdleLimit
 		}
-		overShare := p.Size() > p.share
 		expired := p.Idle("") > p.minIdle && p.account("").open > p.minOpen && now-oldest.since > limit
 		if oldest.account != "" {
 			expired = now-oldest.since > cmp.Or(p.surplusIdleLimit, accountIdleLimit)
 		}
-		if overShare || expired {
+		if expired {
 			p.removeIdle(at)
 			out = append(out, oldest.conn)
 			continue
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -49,6 +49,11 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// registerCounter registers a counter whose value is computed on each scrape.
+func (m *Metrics) registerCounter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
 // registerGauges registers gauges of the daemon's sessions, statements and connections
 // and of its view of the catalog, the live daemons and the primary leases.
 func (p *Proxy) registerGauges() {
@@ -71,6 +76,16 @@
 	p.metrics.registerGauge("heatherhall_groups_carried", "Database groups whose statements this daemon runs for its failure domain.", locked(func() float64 { return float64(p.mux.CarrierLoad().Groups) }))
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
 	p.metrics.registerGauge("heatherhall_forwards_waiting", "Statements that carriers owe this daemon answers to.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwards) }))
+	for _, c := range []struct {
+		name, help string
+		value      func(multiplexer.AccountConnCounts) uint64
+	}{
+		{"opened", "Connections to backend servers opened for client accounts.", func(c multiplexer.AccountConnCounts) uint64 { return c.Opened }},
+		{"evicted", "Idle connections of client accounts closed to make room for another account.", func(c multiplexer.AccountConnCounts) uint64 { return c.Evicted }},
+		{"reused", "Statements and transactions on connections that had served their account before.", func(c multiplexer.AccountConnCounts) uint64 { return c.Reused }},
+	} {
+		p.metrics.registerCounter("heatherhall_account_connections_"+c.name+"_total", c.help, locked(func() float64 { return float64(c.value(p.mux.AccountConnCounts())) }))
+	}
 	p.metrics.registerGauge("heatherhall_carriers_unreachable", "Carriers that do not respond to this daemon.", locked(func() float64 { return float64(p.mux.CarrierLoad().Unreachable) }))
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -14,8 +14,8 @@
 	// maxCredit is the upper bound of the credit that a rank accumulates, in
 	// milliseconds of work.
 	maxCredit = 400.0
-	// maxSkippedFlows is how many customers one search examines: customers
-	// whose next item does not fit are skipped.
+	// maxSkippedFlows is how many customers one search examines unless SetSkipLimit
+	// says otherwise: customers whose next item does not fit are skipped.
 	maxSkippedFlows = 8
 )
 
@@ -45,6 +45,8 @@
 	ranks [NumRanks]rankQueue
 	// limit is the maximum number of items.
 	limit int
+	// skipLimit is how many customers one search examines.
+	skipLimit int
 	// capacity is the number of items per lane that can run at once.
 	capacity [lanes]float64
 	// skipped are the flows that the current search has taken out of the heap.
@@ -55,7 +57,7 @@
 
 // New returns an empty queue that accepts at most limit items.
 func New(policies RankPolicies, limit int) *Queue {
-	q := &Queue{limit: limit, capacity: [lanes]float64{1, 1}}
+	q := &Queue{limit: limit, skipLimit: maxSkippedFlows, capacity: [lanes]float64{1, 1}}
 	for i := range q.ranks {
 		q.ranks[i] = rankQueue{policy: policies[i], flows: map[string]*flow{}}
 		for lane := range q.ranks[i].lanes {
@@ -71,6 +73,11 @@
 	q.capacity[lane] = max(1, float64(slots))
 }
 
+// SetSkipLimit sets how many customers one search of Pop examines.
+func (q *Queue) SetSkipLimit(customers int) {
+	q.skipLimit = customers
+}
+
 // LenByRank returns the number of waiting items of a rank.
 func (q *Queue) LenByRank(rank Rank) int {
 	return q.ranks[rank].count()
@@ -197,11 +204,11 @@
 
 // popRank removes and returns the next item of a rank in the open lanes that
 // fits. It skips customers whose next item does not fit, and gives up after
-// maxSkippedFlows of them, not counting those that are parked.
+// the skip limit, not counting those that are parked.
 func (q *Queue) popRank(rank Rank, open [2]bool, fits func(Item) bool) (Item, bool) {
 	r := &q.ranks[rank]
 	defer q.restoreSkipped(r)
-	for skipped := 0; skipped < maxSkippedFlows; skipped++ {
+	for skipped := 0; skipped < q.skipLimit; skipped++ {
 		f, lane := r.first(open)
 		if f == nil {
 			return Item{}, false
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -222,3 +222,40 @@
 		}
 	})
 }
+
+// TestPark guards against work that fits but is never found behind many customers whose
+// work does not, and against customers that stay parked. Load: 1,000 customers without
+// a connection before one that has one.
+func TestPark(t *testing.T) {
+	q := scheduler.New(scheduler.DefaultRankPolicies(), 2000)
+	for i := range 1000 {
+		if err := q.Push(0, item(fmt.Sprint(i), fmt.Sprint("c", i), scheduler.RankStandard)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := q.Push(0, item("fits", "z", scheduler.RankStandard)); err != nil {
+		t.Fatal(err)
+	}
+	examined := 0
+	fits := func(i scheduler.Item) bool {
+		examined++
+		if i.Customer != "z" {
+			q.Park()
+		}
+		return i.Customer == "z"
+	}
+	if got, found := q.Pop(anyLane, fits); !found || got.ID != "fits" {
+		t.Fatalf("got %v, %v, want the item that fits", got, found)
+	}
+	examined = 0
+	if got, found := q.Pop(anyLane, fits); found || examined > 0 {
+		t.Errorf("got %v, %v after examining %d parked customers, want none", got, found, examined)
+	}
+	q.Unpark("c500")
+	if got, found := q.Pop(anyLane, fitsAll); !found || got.ID != "500" {
+		t.Errorf("got %v, %v, want the item of the customer that is no longer parked", got, found)
+	}
+	if waiting := q.RemoveAll(); len(waiting) != 999 {
+		t.Errorf("%d items are waiting, want 999", len(waiting))
+	}
+}
