--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -10,11 +10,18 @@
 )
 
 const (
-	// initialTokens is what a bucket holds at most when a coordinator starts, and
-	// takeoverTokens when it takes over or was frozen.
-	initialTokens, takeoverTokens = 4.0, 2.0
-	// minCapacity is the least that a bucket can hold.
-	minCapacity = 4.0
+	// takeoverTokens is what a bucket holds at most when a coordinator has taken over or
+	// was frozen.
+	takeoverTokens = 1.0
+	// minCapacity is the least that a bucket can hold, and what it holds when a
+	// coordinator starts. All domains together hold at most sharedCapacity of these
+	// tokens: twelve exceeded the bound of an account with one operation a second when
+	// gateways were cut off at the same time.
+	minCapacity, sharedCapacity = 4.0, 9.0
+	// maxRateReserve is by how many operations a second all domains together may exceed
+	// the rate, and rateReserve by what part of it, so that rounding leaves nothing
+	// unused.
+	maxRateReserve, rateReserve = 1.0, 0.05
 	// maxDebt is for how long ahead a coordinator grants tokens that may be used only
 	// once they are due. It smooths arrivals at accounts without a burst.
 	maxDebt timekeeper.Millis = 100
@@ -26,6 +33,11 @@
 	silenceLimit timekeeper.Millis = 1000
 	// demandReserve is how much more than its measured demand a domain is to get.
 	demandReserve = 1.25
+	// countsInMemory is over how many operations at the rate limit an account's demand is
+	// averaged, for at most maxMemory: rates of a few operations a second look different
+	// in every period.
+	countsInMemory                   = 20
+	maxMemory      timekeeper.Millis = 10_000
 	// minDemand is the demand in operations a second that counts as none.
 	minDemand = 0.05
 )
@@ -41,6 +53,7 @@
 	demand    float64
 	gifts     map[string]*gift
 	usedAt    timekeeper.Millis
+	loan      loan
 	// loggedShare is the rate share that was last logged.
 	loggedShare float64
 }
@@ -60,7 +73,7 @@
 // peer is the coordinator of another domain for a shard.
 type peer struct {
 	host  placer.Host
-	hosts int
+	hosts hostCount
 	// from and epoch identify the sender of the last message, heard is its number and
 	// heardAt when it arrived, 0 if none has.
 	from    string
@@ -100,19 +113,45 @@
 	number   int
 	accounts map[string]*tally
 	peers    map[string]*peer
+	// borrowing are the accounts whose tokens other domains are to be asked for.
+	borrowing []*tally
 	standing
 }
 
+// hostCount is the number of a domain's hosts. It falls only after a time, because the
+// daemons' lists differ for a while.
+type hostCount struct {
+	count, next int
+	lowerSince  timekeeper.Millis
+}
+
+func (h *hostCount) set(now timekeeper.Millis, n int) {
+	if n >= h.count {
+		h.count, h.lowerSince = n, 0
+	} else if h.lowerSince == 0 {
+		h.lowerSince = now
+	}
+	h.next = n
+	h.settle(now)
+}
+
+// settle takes over a lower number that has lasted.
+func (h *hostCount) settle(now timekeeper.Millis) {
+	if h.lowerSince > 0 && now-h.lowerSince >= departureHold {
+		h.count, h.lowerSince = h.next, 0
+	}
+}
+
 // base returns the rate share of a domain that nobody has any demand of.
 func (s *shard) base(domain string) float64 {
 	total, own := 0, 0
 	for name, p := range s.peers {
-		total += p.hosts
+		total += p.hosts.count
 		if name == domain {
-			own = p.hosts
+			own = p.hosts.count
 		}
 	}
-	self := s.hosts
+	self := s.hosts.count
 	if domain == s.coord.placement.Self().Domain {
 		own = self
 	}
@@ -154,24 +193,29 @@
 	return max(0, min(1, share)) * s.part(now)
 }
 
+// minCapacity is the least that a bucket of the shard can hold.
+func (s *shard) minCapacity() float64 {
+	return min(minCapacity, sharedCapacity/float64(len(s.peers)+1))
+}
+
 // refill brings an account's bucket up to date and returns its rate.
 func (s *shard) refill(now timekeeper.Millis, t *tally) float64 {
 	share := s.share(now, t)
-	rate := float64(t.account.RateLimit+1) * share
+	limit := float64(t.account.RateLimit)
+	rate := (limit + min(maxRateReserve, limit*rateReserve)) * share
 	if s.unsettled(now) {
 		rate = 0
 	}
-	t.bucket.refill(now, rate, max(minCapacity, float64(t.account.Burst)*share/2))
+	t.bucket.refill(now, rate, max(s.minCapacity(), float64(t.account.Burst)*share/2))
 	return rate
 }
 
 // count adds operations to an account's demand.
 func (t *tally) count(now timekeeper.Millis, n int) {
 	if elapsed := now - t.countedAt; elapsed >= demandPeriod {
-		t.demand = (t.demand + float64(t.counted)*1000/float64(elapsed)) / 2
-		if elapsed > 8*demandPeriod {
-			t.demand = 0
-		}
+		memory := min(max(countsInMemory*1000/float64(t.account.RateLimit), float64(demandPeriod)), float64(maxMemory))
+		weight := float64(elapsed) / (float64(elapsed) + memory)
+		t.demand += weight * (float64(t.counted)*1000/float64(elapsed) - t.demand)
 		t.counted, t.countedAt = 0, now
 	}
 	t.counted += n
@@ -200,6 +244,9 @@
 		}
 		return a
 	}
+	if r.Domain != "" {
+		return s.lend(now, r)
+	}
 	a := TokensAnswer{Items: make([]TokensGrant, 0, len(r.Items))}
 	for _, item := range r.Items {
 		a.Items = append(a.Items, s.grant(now, item))
@@ -225,7 +272,9 @@
 		// Tokens that expire unused are lost to the account, so half of them stay here.
 		out.Ahead = t.bucket.take(min(item.Ahead, int(t.bucket.tokens/2)), 0)
 	}
-	if out.Granted < item.Need {
+	if out.Granted < item.Need && s.borrow(now, t, item.Need-out.Granted) {
+		out.Again = borrowTime
+	} else if out.Granted < item.Need {
 		out.Retry = max(1, t.bucket.due(1, rate))
 		limit := max(1, float64(t.account.RateLimit)*max(s.share(now, t), 0.01))
 		out.Spread = timekeeper.Millis(min(float64(maxRetry), 1000*t.demandNow(now)/limit))
--- a/limiter/gateway.go
+++ b/limiter/gateway.go
@@ -11,7 +11,7 @@
 	// maxWait is how long an operation waits for a token.
 	maxWait timekeeper.Millis = 150
 	// tokenLifetime is how long after the request a granted token may be used.
-	tokenLifetime timekeeper.Millis = 400
+	tokenLifetime timekeeper.Millis = 300
 	// aheadPeriod is for how long ahead tokens are requested for a busy account, and
 	// minAhead the demand in that period from which on an account counts as busy.
 	aheadPeriod timekeeper.Millis = 250
@@ -65,8 +65,10 @@
 	loggedAt            timekeeper.Millis
 	loggedRefusals      int
 	askAheadAt          timekeeper.Millis
-	usedAt              timekeeper.Millis
-	fallback            fallback
+	// againAt is when to ask again for operations that wait.
+	againAt  timekeeper.Millis
+	usedAt   timekeeper.Millis
+	fallback fallback
 }
 
 // Gateway asks coordinators for tokens on behalf of this daemon's clients.
@@ -287,6 +289,9 @@
 			granted--
 			g.admitWaiting(w)
 			g.stats.Admitted[l.account.Name]++
+		case item.Again > 0:
+			l.againAt = now + item.Again
+			kept = append(kept, w)
 		default:
 			l.refuseUntil = now + min(max(item.Retry, 1), maxRefusal)
 			g.decisions = append(g.decisions, g.refuse(now, l, w.id, "no tokens"))
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -63,6 +63,8 @@
 	Demand *DemandRequest
 	// ID identifies the message in TokensAnswered, DemandAnswered and Lost.
 	ID uint64
+	// borrowedFrom is the domain that a coordinator asks for tokens.
+	borrowedFrom string
 }
 
 // Stats counts what a Limiter has done.
@@ -239,7 +241,11 @@
 func (l *Limiter) TokensAnswered(now timekeeper.Millis, id uint64, a TokensAnswer) {
 	m, found := l.sent[id]
 	delete(l.sent, id)
-	if found && m.Tokens != nil {
+	switch {
+	case !found || m.Tokens == nil:
+	case m.Tokens.Domain != "":
+		l.coord.borrowed(now, *m.Tokens, m.borrowedFrom, a)
+	default:
 		l.gateway.answered(now, m.Tokens.Number, a)
 	}
 }
@@ -248,7 +254,7 @@
 func (l *Limiter) DemandAnswered(now timekeeper.Millis, id uint64, a DemandAnswer) {
 	m, found := l.sent[id]
 	delete(l.sent, id)
-	if found && m.Demand != nil && m.Demand.Ping {
+	if found && m.Demand != nil && m.Demand.Domain == l.placement.Self().Domain {
 		l.coord.pingAnswered(now, m.Demand.Shard, m.To.Name, a)
 	}
 }
@@ -257,7 +263,11 @@
 func (l *Limiter) Lost(now timekeeper.Millis, id uint64) {
 	m, found := l.sent[id]
 	delete(l.sent, id)
-	if found && m.Tokens != nil {
+	switch {
+	case !found || m.Tokens == nil:
+	case m.Tokens.Domain != "":
+		l.coord.borrowed(now, *m.Tokens, m.borrowedFrom, TokensAnswer{Unavailable: true})
+	default:
 		l.gateway.lost(now, m.Tokens.Number)
 	}
 }
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -15,8 +15,11 @@
 // TokensRequest asks a coordinator for tokens.
 type TokensRequest struct {
 	// Number tells the requester which of its requests is answered.
-	Number uint64       `json:"number"`
-	Shard  int          `json:"shard"`
+	Number uint64 `json:"number"`
+	Shard  int    `json:"shard"`
+	// Domain is that of a coordinator that asks another domain's for tokens; empty if a
+	// gateway asks its own.
+	Domain string       `json:"domain,omitempty"`
 	Items  []TokensItem `json:"items"`
 }
 
@@ -51,6 +54,9 @@
 	Granted int               `json:"granted,omitempty"`
 	Wait    timekeeper.Millis `json:"wait,omitempty"`
 	Ahead   int               `json:"ahead,omitempty"`
+	// Again is set if the coordinator looks for more tokens: the gateway is to ask again
+	// after that time for the operations that still wait.
+	Again timekeeper.Millis `json:"again,omitempty"`
 	// Retry is when the next token is due if there were too few, and Spread the time
 	// over which refused operations should return.
 	Retry  timekeeper.Millis `json:"retry,omitempty"`
@@ -65,10 +71,14 @@
 	Domain string `json:"domain"`
 	Shard  int    `json:"shard"`
 	Epoch  int64  `json:"epoch"`
+	// Claim marks a message of a coordinator to its deputy that does not call. Address is
+	// the sender's.
+	Claim   bool   `json:"claim,omitempty"`
+	Address string `json:"address,omitempty"`
 	// Ping marks a message of the deputy, and Granting says that it grants tokens.
 	Ping     bool `json:"ping,omitempty"`
 	Granting bool `json:"granting,omitempty"`
-	// Leaving says that the deputy ends.
+	// Leaving says that the sender is the deputy no longer.
 	Leaving bool `json:"leaving,omitempty"`
 	// Handover says that the deputy was the coordinator before, and State what it knew.
 	Handover bool         `json:"handover,omitempty"`
@@ -95,6 +105,9 @@
 // needs to take over.
 type DemandAnswer struct {
 	State []StateEntry `json:"state,omitempty"`
+	// Host and Address name the coordinator that the daemon knows of.
+	Host    string `json:"host,omitempty"`
+	Address string `json:"address,omitempty"`
 	// Leaving says that the coordinator ends.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -142,7 +155,7 @@
 		return invalid(op, "items: too many")
 	}
 	for _, i := range a.Items {
-		if !count(i.Granted) || !count(i.Ahead) || !count(int(i.Wait)) || !count(int(i.Retry)) || !count(int(i.Spread)) {
+		if !count(i.Granted) || !count(i.Ahead) || !count(int(i.Wait)) || !count(int(i.Retry)) || !count(int(i.Spread)) || !count(int(i.Again)) {
 			return invalid(op, "items: out of range")
 		}
 	}
--- a/limiter/route.go
+++ b/limiter/route.go
@@ -24,7 +24,7 @@
 	fallbackHosts = 2
 	// fallbackPart is the part of an account's rate that all these daemons together
 	// admit, and fallbackInterval the longest time between two operations of one.
-	fallbackPart                       = 0.05
+	fallbackPart                       = 0.02
 	fallbackInterval timekeeper.Millis = 10_000
 )
 
@@ -136,7 +136,7 @@
 		item := TokensItem{Account: name, Charged: l.charged}
 		l.asked = 0
 		for i, w := range l.waiting {
-			if w.due == 0 {
+			if w.due == 0 && now >= l.againAt {
 				item.Need++
 				l.asked = i + 1
 			}
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -33,6 +33,8 @@
 	// hosts it may still grant tokens: that long it may use servers without reaching
 	// the store.
 	departureHold timekeeper.Millis = 20_000
+	// resignTime is how long a daemon tells a coordinator that it is no longer its deputy.
+	resignTime timekeeper.Millis = 1000
 	// joinDelay is how long a coordinator grants nothing that its deputy has never
 	// called. A joining host is known to all others within this time.
 	joinDelay timekeeper.Millis = 8000
@@ -43,20 +45,28 @@
 type standing struct {
 	role  role
 	order []placer.Host
-	hosts int
+	hosts hostCount
 	// since is when the role began. grantsSince is when the daemon began to grant
 	// tokens, and takenOver says that another one did before.
 	since, grantsSince timekeeper.Millis
 	takenOver          bool
-	// deputyAt is when the coordinator last heard from the deputy, 0 if never in this
-	// role, and deputyGrants and deputyLeaves what that said.
-	deputyAt                   timekeeper.Millis
-	deputyGrants, deputyLeaves bool
+	// deputies are the daemons that have called the coordinator as its deputy, by name.
+	// There are several where lists of hosts differ.
+	deputies map[string]deputy
 	// answeredAt is when the coordinator last answered the deputy, and firstLeaves what
 	// it said.
 	answeredAt  timekeeper.Millis
 	firstLeaves bool
 	nextPing    timekeeper.Millis
+	// claimant is a daemon that precedes this one and that its list of hosts lacked at
+	// claimedAt.
+	claimant  placer.Host
+	claimedAt timekeeper.Millis
+	// listed is the order of the hosts in the list.
+	listed []placer.Host
+	// resignTo is the coordinator whose deputy this daemon was until resignedAt.
+	resignTo   placer.Host
+	resignedAt timekeeper.Millis
 	// holdUntil is until when a daemon that has disappeared may grant tokens.
 	holdUntil timekeeper.Millis
 	granting  bool
@@ -66,6 +76,12 @@
 	handover, settled bool
 }
 
+// deputy is what a coordinator knows about a daemon that has called it.
+type deputy struct {
+	at              timekeeper.Millis
+	grants, resigns bool
+}
+
 // part returns which part of the domain's rate share this daemon may grant.
 func (s *shard) part(now timekeeper.Millis) float64 {
 	switch s.role {
@@ -81,16 +97,29 @@
 	switch {
 	case now < s.holdUntil:
 		return halfPart
-	case len(s.order) < 2 || s.deputyLeaves:
+	}
+	for name, d := range s.deputies {
+		if !d.resigns && (d.grants || now-d.at > deputyDelay) && now-d.at < departureHold {
+			return s.without(now, name)
+		}
+	}
+	if len(s.order) < 2 {
 		return 1
-	case s.deputyAt == 0 && !s.takenOver && now-s.since < joinDelay:
-		return 0
-	case s.deputyAt == 0, s.deputyGrants, now-s.deputyAt > deputyDelay:
-		return halfPart
+	}
+	if _, called := s.deputies[s.order[1].Name]; !called {
+		return s.without(now, s.order[1].Name)
 	}
 	return 1
 }
 
+// without returns which part a coordinator may grant that is not in touch with a deputy.
+func (s *shard) without(now timekeeper.Millis, name string) float64 {
+	if _, called := s.deputies[name]; !called && !s.takenOver && now-s.since < joinDelay {
+		return 0
+	}
+	return halfPart
+}
+
 // unsettled reports whether a coordinator does not know yet what other domains use of
 // its rate share.
 func (s *shard) unsettled(now timekeeper.Millis) bool {
@@ -110,7 +139,7 @@
 	if s.takenOver {
 		return takeoverTokens
 	}
-	return initialTokens
+	return s.minCapacity()
 }
 
 func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement, shards int) {
@@ -124,16 +153,43 @@
 		}
 	}
 	for _, s := range c.shards {
-		s.setOrder(now, p.OrderIn(own, shardKey(s.number)), p.Self().Name)
-		s.hosts = domains[own]
+		s.listed = p.OrderIn(own, shardKey(s.number))
+		s.setOrder(now, s.withClaimant(now))
+		s.hosts.set(now, domains[own])
 		if !p.Partial() {
 			s.setPeers(now, p)
 		}
 	}
 }
 
+// withClaimant returns the hosts in the list and a claimant that it lacks, in order.
+func (s *shard) withClaimant(now timekeeper.Millis) []placer.Host {
+	known := func(h placer.Host) bool { return h.Name == s.claimant.Name }
+	if s.claimedAt == 0 || now-s.claimedAt > silenceLimit || slices.ContainsFunc(s.listed, known) {
+		return s.listed
+	}
+	i := slices.IndexFunc(s.listed, func(h placer.Host) bool { return placer.Before(shardKey(s.number), s.claimant.Name, h.Name) })
+	if i < 0 {
+		return s.listed
+	}
+	return slices.Insert(slices.Clone(s.listed), i, s.claimant)
+}
+
+// claim takes a daemon into the order that this one's list of hosts may lack.
+func (s *shard) claim(now timekeeper.Millis, h placer.Host) {
+	if h.Name == "" || h.Name == s.coord.placement.Self().Name || s.role == roleNone {
+		return
+	}
+	if s.claimedAt > 0 && h.Name != s.claimant.Name && placer.Before(shardKey(s.number), s.claimant.Name, h.Name) {
+		return
+	}
+	s.claimant, s.claimedAt = h, now
+	s.setOrder(now, s.withClaimant(now))
+}
+
 // setOrder sets the domain's hosts in the shard's order.
-func (s *shard) setOrder(now timekeeper.Millis, order []placer.Host, self string) {
+func (s *shard) setOrder(now timekeeper.Millis, order []placer.Host) {
+	self := s.coord.placement.Self().Name
 	before, roleBefore := s.order, s.role
 	next := roleNone
 	switch {
@@ -142,28 +198,28 @@
 	case len(order) > 1 && order[1].Name == self:
 		next = roleSecond
 	}
-	present := func(name string) bool {
-		return slices.ContainsFunc(order, func(h placer.Host) bool { return h.Name == name })
+	firstChanged := roleBefore != roleNone && before[0].Name != order[0].Name
+	if roleBefore == roleSecond && firstChanged {
+		if !slices.ContainsFunc(order, func(h placer.Host) bool { return h.Name == before[0].Name }) && now-s.answeredAt > deputyDelay && !s.firstLeaves {
+			s.holdUntil = now + departureHold
+		}
 	}
-	silentFirst := roleBefore == roleSecond && !present(before[0].Name) && now-s.answeredAt > deputyDelay && !s.firstLeaves
-	silentSecond := roleBefore == roleFirst && len(before) > 1 && !present(before[1].Name) && now-s.deputyAt > deputyDelay && !s.deputyLeaves
-	if silentFirst || silentSecond {
-		s.holdUntil = now + departureHold
+	if roleBefore == roleSecond && (next != roleSecond || firstChanged) {
+		s.resignTo, s.resignedAt = before[0], now
 	}
-	secondChanged := len(before) > 1 != (len(order) > 1) || len(before) > 1 && before[1].Name != order[1].Name
-	if next != roleBefore || next == roleFirst && secondChanged || next == roleSecond && before[0].Name != order[0].Name {
-		s.deputyAt, s.deputyGrants, s.deputyLeaves, s.answeredAt, s.firstLeaves = 0, false, false, 0, false
-		s.since = now
-		if next == roleFirst && roleBefore == roleFirst {
-			s.deputyAt = now // the same daemon goes on, and the deputy is a new one
-		}
+	if next != roleBefore || firstChanged {
+		s.since, s.answeredAt, s.firstLeaves = now, 0, false
 	}
 	s.order, s.role = order, next
-	if next == roleBefore {
-		return
+	if next != roleBefore {
+		s.takenOver = roleBefore != roleNone
+		s.handover = next == roleSecond && roleBefore == roleFirst
+		s.deputies = map[string]deputy{}
+	} else if next == roleFirst && len(order) > 1 && (len(before) < 2 || before[1].Name != order[1].Name) {
+		if _, called := s.deputies[order[1].Name]; !called {
+			s.deputies[order[1].Name] = deputy{at: now} // it may not know its role yet
+		}
 	}
-	s.takenOver = roleBefore != roleNone
-	s.handover = next == roleSecond && roleBefore == roleFirst
 	if next == roleNone {
 		clear(s.accounts)
 	}
@@ -208,7 +264,8 @@
 			s.peers[domain] = &peer{}
 		}
 		other := s.peers[domain]
-		other.hosts, other.removedAt = hosts, 0
+		other.hosts.set(now, hosts)
+		other.removedAt = 0
 		other.host = p.OrderIn(domain, shardKey(s.number))[0]
 	}
 	for domain, other := range s.peers {
@@ -250,6 +307,14 @@
 func (c *Coordinator) tick(now timekeeper.Millis) {
 	for _, s := range c.shards {
 		s.dropDepartedPeers(now)
+		s.hosts.settle(now)
+		for _, p := range s.peers {
+			p.hosts.settle(now)
+		}
+		if s.claimedAt > 0 && now-s.claimedAt > silenceLimit {
+			s.claimedAt = 0
+			s.setOrder(now, s.listed)
+		}
 		s.tickDemand(now)
 		s.updateGranting(now)
 	}
@@ -261,84 +326,6 @@
 	}
 }
 
-// requests returns the messages to other coordinators that are due.
-func (c *Coordinator) requests(now timekeeper.Millis) []Message {
-	var out []Message
-	for _, s := range c.shards {
-		out = append(out, s.messages(now)...)
-		if s.role == roleSecond && now >= s.nextPing {
-			s.nextPing = now + pingPeriod
-			s.pings++
-			ping := DemandRequest{
-				From: c.placement.Self().Name, Domain: c.placement.Self().Domain, Shard: s.number, Epoch: c.epoch, Number: s.pings,
-				Ping: true, Granting: s.granting, Leaving: c.leaving, Handover: s.handover,
-			}
-			if s.handover {
-				ping.State = s.state()
-			}
-			out = append(out, Message{To: s.order[0], Demand: &ping})
-		}
-	}
-	return out
-}
-
-// pinged handles a ping of the deputy.
-func (s *shard) pinged(now timekeeper.Millis, r DemandRequest) DemandAnswer {
-	if s.role == roleFirst && len(s.order) > 1 && r.From == s.order[1].Name {
-		s.deputyAt, s.deputyGrants, s.deputyLeaves = now, r.Granting, r.Leaving
-		s.updateGranting(now)
-		if r.Handover && !s.settled && now-s.grantsSince < silenceLimit {
-			s.setState(now, r.State)
-			s.settled = true
-		}
-	}
-	return DemandAnswer{State: s.state(), Leaving: s.coord.leaving}
-}
-
-// state returns what passes between this domain and the others.
-func (s *shard) state() []StateEntry {
-	var out []StateEntry
-	for _, name := range sortedBy(s.accounts) {
-		t := s.accounts[name]
-		for _, domain := range sortedBy(t.gifts) {
-			if g := t.gifts[domain]; g.charged > 0 || g.held > 0 {
-				out = append(out, StateEntry{Account: name, Domain: domain, Given: g.charged, Held: g.held, Demand: g.demand})
-			}
-		}
-	}
-	return out
-}
-
-// setState replaces what passes between this domain and the others.
-func (s *shard) setState(now timekeeper.Millis, state []StateEntry) {
-	for _, t := range s.accounts {
-		clear(t.gifts)
-	}
-	for _, e := range state {
-		if t := s.tally(now, e.Account); t != nil {
-			*t.gift(e.Domain) = gift{given: e.Given, charged: e.Given, held: e.Held, demand: e.Demand}
-		}
-	}
-}
-
-// pingAnswered handles the coordinator's answer to a ping.
-func (c *Coordinator) pingAnswered(now timekeeper.Millis, number int, from string, a DemandAnswer) {
-	if number >= len(c.shards) {
-		return
-	}
-	s := c.shards[number]
-	if s.role != roleSecond || from != s.order[0].Name {
-		return
-	}
-	s.answeredAt, s.firstLeaves = now, a.Leaving
-	if s.handover {
-		s.handover = false
-		return
-	}
-	s.setState(now, a.State)
-	s.updateGranting(now)
-}
-
 // shares returns the rate shares that this daemon grants.
 func (c *Coordinator) shares(now timekeeper.Millis) map[string]float64 {
 	out := map[string]float64{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -145,15 +145,21 @@
 
 // Rank returns the position of this daemon in its failure domain's order for key.
 func (p Placement) Rank(key string) int {
-	rank, own := 0, xxhash.Sum64String(p.self.Name+"/"+key)
+	rank := 0
 	for _, h := range p.local {
-		if w := xxhash.Sum64String(h.Name + "/" + key); w > own || w == own && h.Name < p.self.Name {
+		if Before(key, h.Name, p.self.Name) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// Before reports whether the host a takes a role that is named by key before b.
+func Before(key, a, b string) bool {
+	weightA, weightB := xxhash.Sum64String(a+"/"+key), xxhash.Sum64String(b+"/"+key)
+	return weightA > weightB || weightA == weightB && a < b
+}
+
 // order sorts hosts by their rendezvous hash with a key.
 func order(hosts []Host, key string) []Host {
 	type weighted struct {
