--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -98,3 +98,26 @@
 		t.Errorf("%d daemons carry 100 placements, want 35 or more of 78", len(carried))
 	}
 }
+
+// TestSelectForAccount guards against a carrier that gets most accounts, and against
+// accounts that move between carriers that stay when another one is lost.
+func TestSelectForAccount(t *testing.T) {
+	carriers := fleet(4)
+	selected := map[string]int{}
+	for i := range 400 {
+		account := fmt.Sprintf("a%d", i)
+		before := carriers[placer.SelectForAccount(carriers, "g", account)]
+		selected[before.Name]++
+		if before == carriers[3] {
+			continue
+		}
+		if after := carriers[placer.SelectForAccount(carriers[:3], "g", account)]; after != before {
+			t.Errorf("%s moves from %s to %s when %s is lost", account, before.Name, after.Name, carriers[3].Name)
+		}
+	}
+	for name, n := range selected {
+		if n > 130 {
+			t.Errorf("%s gets %d of 400 accounts, want at most 130", name, n)
+		}
+	}
+}
