Do not pause a server's pool when it refuses one account

A refusal paused all openings at the server for 100 ms, also for other accounts. Now only the refused account pauses, for 1 s.

--- a/multiplexer/accountconns_test.go
+++ b/multiplexer/accountconns_test.go
@@ -154,6 +154,82 @@
 	}
 }
 
+// TestAccountDenied guards against an account that the servers refuse and whose statements
+// keep other accounts from opening connections. Load: a statement of that account every
+// 20 ms, and 16 accounts with one every 100 ms each over 8 connections to each server.
+func TestAccountDenied(t *testing.T) {
+	h := newAccountHarness(t, 8, 17, 8)
+	h.denied = "a0"
+	denied, others := counts{}, counts{}
+	h.streamAs("k0", 20, 6000, &denied)
+	for i := range 16 {
+		h.streamAs(fmt.Sprintf("k%d", i+1), 100, 6000, &others)
+	}
+	h.run(8000)
+	if others.served != 16*60 || others.slowest > 100 {
+		t.Errorf("others %+v, want all %d served within 100 ms", others, 16*60)
+	}
+	if denied.served > 0 || denied.rejected != 300 || h.refused > 30 {
+		t.Errorf("denied account %+v with %d connections refused, want 300 rejected statements and at most 30 connections", denied, h.refused)
+	}
+}
+
+// TestAccountCarrier guards against an account's work that goes to several carriers of a
+// failure domain, each of which would need connections of its own for it.
+func TestAccountCarrier(t *testing.T) {
+	f := newFleet(t, 100)
+	for _, d := range f.daemons {
+		d.execute(d.mux.SetCatalog(f.Now(), cataloger.New(2, []cataloger.Database{
+			{Name: "closed", Group: testGroup, Consistency: cataloger.ConsistencySession, MaxAge: 2500, Timeout: 1000, Closed: true},
+		}, []cataloger.Group{{Name: testGroup, ConnectionLimit: 240}}).WithAccounts(testAccounts(20))))
+	}
+	carriers := map[int]bool{}
+	for account := range 20 {
+		before := make([]int, len(f.daemons))
+		for i, d := range f.daemons {
+			before[i] = d.ran
+			if i%fleetDomains == 0 {
+				d.askAs("closed", fmt.Sprintf("k%d", account), aRead, func(Answer, timekeeper.Millis) {})
+			}
+		}
+		f.RunUntil(f.Now()+1000, nil)
+		var ran []int
+		for i, d := range f.daemons {
+			if d.ran > before[i] {
+				ran, carriers[i] = append(ran, i), true
+			}
+		}
+		if len(ran) != 1 {
+			t.Errorf("account %d: the daemons %v run its statements, want one", account, ran)
+		}
+	}
+	if len(carriers) != 3 {
+		t.Errorf("the daemons %v run the statements of 20 accounts, want three", carriers)
+	}
+}
+
+// TestShareOfRestarted guards against a daemon that opens more connections after its start
+// than the others leave unused, while its list of hosts may be incomplete and the servers
+// count the connections that it had before.
+func TestShareOfRestarted(t *testing.T) {
+	h := newAccountHarness(t, 8, 10, 70)
+	h.m.placedAt, h.m.membershipSettled = h.Now(), false
+	h.m.updatePoolLimits()
+	h.checkSend = func(c *conn) {
+		if size := c.server.pool.Size(); size > minShare && !h.m.membershipSettled {
+			t.Fatalf("%d connections to server %s, want at most %d", size, c.server.ID, minShare)
+		}
+	}
+	results := counts{}
+	for i := range 10 {
+		h.streamAs(fmt.Sprintf("k%d", i), 50, 2500, &results)
+	}
+	h.run(membershipSettleTime)
+	if results.served != 500 {
+		t.Errorf("%+v, want all 500 served", results)
+	}
+}
+
 // streamAs runs a read with a key at an interval for some time and counts the results.
 func (h *harness) streamAs(key string, interval, length timekeeper.Millis, results *counts) {
 	for at := timekeeper.Millis(0); at < length; at += interval {
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -41,11 +41,14 @@
 	}
 	s := c.server
 	g := m.group(s.Group)
-	if a.Code == CodeTooManyConnections && m.catalog.HasClosed(s.Group) {
+	switch {
+	case a.Code == CodeTooManyConnections && m.catalog.HasClosed(s.Group):
 		s.pool.Refuse(now, id)
+	case a.Code == CodeDenied && c.account != "":
+		s.pool.Deny(now, id)
 	}
 	m.removeConn(now, c)
-	g.log("connection refused", observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("open", s.pool.Size()))
+	g.log("connection refused", observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("open", s.pool.Size()), observer.F("account", c.account))
 	if a.Code == CodeTooManyConnections {
 		g.recordConnPath(now, c)
 		g.markResponsive(now, s)
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -30,6 +30,8 @@
 	// connectionLimit is how many connections a server accepts, 0 for any number, and
 	// refused counts those that were refused.
 	connectionLimit, refused int
+	// denied is an account that the servers refuse.
+	denied string
 }
 
 // fakeServer is a backend server with slots and a queue in order of arrival.
@@ -136,6 +138,11 @@
 		h.After(500, func() { h.execute(h.m.ConnLost(h.Now(), c.Conn)) })
 		return
 	}
+	if h.denied != "" && c.Account == h.denied {
+		h.refused++
+		h.After(1, func() { h.execute(h.m.ConnRefused(h.Now(), c.Conn, Answer{Code: CodeDenied})) })
+		return
+	}
 	if h.connectionLimit > 0 && s.open >= h.connectionLimit {
 		h.refused++
 		h.After(1, func() { h.execute(h.m.ConnRefused(h.Now(), c.Conn, Answer{Code: CodeTooManyConnections})) })
--- a/pooler/account.go
+++ b/pooler/account.go
@@ -29,6 +29,8 @@
 	// unusedHold is how long a connection that was never taken is not evicted: the work
 	// that it was opened for may take it only after other work has asked for its place.
 	unusedHold timekeeper.Millis = 50
+	// deniedPause is the pause after the server has refused an account.
+	deniedPause timekeeper.Millis = 1000
 	// regrowInterval is the time after refusedHold in which the pool may grow by one
 	// connection.
 	regrowInterval timekeeper.Millis = 500
@@ -44,6 +46,8 @@
 	// uses is the number of uses, of which each loses weight with its age, as of usedAt.
 	uses   float64
 	usedAt timekeeper.Millis
+	// deniedUntil is until when no connection of the account is opened.
+	deniedUntil timekeeper.Millis
 }
 
 // held is a connection in use since a time.
@@ -187,13 +191,16 @@
 }
 
 // CanOpenAs reports whether work of a rank may open one more connection of an account:
-// no pause applies, the account holds less than its part of the share, a connection is
+// no pause applies to the server or the account, the account holds less than its part of the share, a connection is
 // idle or the share has room, and the last connections of the share stay reserved for
 // urgent work.
 func (p *Pool) CanOpenAs(now timekeeper.Millis, rank scheduler.Rank, name string) bool {
 	if now < p.openAfter || p.Open(name) >= p.accountLimit(name) {
 		return false
 	}
+	if a := p.accounts[name]; a != nil && now < a.deniedUntil {
+		return false
+	}
 	if limit := p.sizeLimit(now); p.Size() > limit || p.Size() == limit && len(p.idle) == 0 {
 		return false
 	}
@@ -266,6 +273,19 @@
 	p.refusedSize, p.refusedUntil = max(1, p.Size()-len(p.opening)), now+refusedHold
 }
 
+// Deny removes a connection that the server has refused because of its account. For
+// deniedPause no other of the account is opened; other accounts don't wait.
+func (p *Pool) Deny(now timekeeper.Millis, conn Conn) {
+	name, opening := p.opening[conn]
+	if !opening {
+		return
+	}
+	before := p.openAfter
+	p.Remove(now, conn)
+	p.openAfter = before
+	p.account(name).deniedUntil = now + deniedPause
+}
+
 // evict removes an idle connection of another account than the given one.
 // Connections without an account up to the minimum stay.
 func (p *Pool) evict(now timekeeper.Millis, name string, keep func(account string) bool) (Eviction, bool) {
