--- a/multiplexer/accountconns_test.go
+++ b/multiplexer/accountconns_test.go
@@ -46,131 +46,102 @@
 // every 20 ms.
 func TestAccountsInTurn(t *testing.T) {
 	h := newAccountHarness(t, 8, 83, 8)
-	served, other := 0, 0
+	results := counts{}
 	for i := range 1000 {
 		h.After(timekeeper.Millis(20*i), func() {
 			database, key := "standard", fmt.Sprintf("k%d", i%83)
 			if i%10 == 0 {
 				database = "open"
 			}
-			h.runStatement(database, key, Statement{Kind: KindRead}, func(a Answer, _ timekeeper.Millis) {
-				if a.Code == CodeOK {
-					served++
-				} else {
-					other++
-				}
-			})
+			h.runStatement(database, key, Statement{Kind: KindRead}, results.add)
 		})
 	}
 	h.run(22_000)
-	if served != 1000 || other != 0 {
-		t.Errorf("%d of 1000 statements were served and %d were not, want all served", served, other)
-	}
-}
-
-// TestRareAccount guards against a rarely active account that waits for long, and against
-// one whose connection displaces that of a busy account again and again. Load: 7 accounts
-// with a statement of 8 ms every 40 ms each, and 7 others with one statement each, 3 s apart, over
-// 8 connections to each server.
-func TestRareAccount(t *testing.T) {
-	h := newAccountHarness(t, 8, 37, 8)
-	rare, busy := counts{}, counts{}
-	for i := range 7 {
-		h.streamAs(fmt.Sprintf("k%d", i), 40, 30_000, &busy)
-	}
-	h.run(10_000)
-	before := h.m.AccountConnCounts()
-	for i := range 7 {
-		h.After(timekeeper.Millis(3000*i), func() { h.streamAs(fmt.Sprintf("k%d", 7+i), 1, 1, &rare) })
-	}
-	h.run(22_000)
-	if rare.served != 7 || rare.slowest > 80 || busy.served != 7*750 {
-		t.Errorf("rare %+v, busy %+v, want all 7 and 5250 served, the rare ones within 80 ms", rare, busy)
-	}
-	if opened := h.m.AccountConnCounts().Opened - before.Opened; opened > 14 {
-		t.Errorf("%d connections were opened for 7 rare statements, want at most 14", opened)
-	}
-}
-
-// TestAccountFlood guards against an account that holds all connections. Load: one account
-// with 40 statements of 8 ms at once every 50 ms, more than the servers run, and 20 accounts
-// with one every 200 ms, over 8 connections to each server.
-func TestAccountFlood(t *testing.T) {
-	h := newAccountHarness(t, 8, 21, 8)
-	flood, others := counts{}, counts{}
-	for range 40 {
-		h.streamAs("k0", 50, 10_000, &flood)
-	}
-	for i := range 20 {
-		h.After(timekeeper.Millis(10*i), func() { h.streamAs(fmt.Sprintf("k%d", i+1), 200, 10_000, &others) })
-	}
-	h.run(12_000)
-	t.Logf("flood %+v, others %+v, connections %+v", flood, others, h.m.AccountConnCounts())
-	if others.served != 1000 || others.slowest > 200 {
-		t.Errorf("others %+v, want all 1000 served within 200 ms", others)
-	}
-	if flood.served < 2000 {
-		t.Errorf("flood %+v, want 2000 or more served", flood)
-	}
-}
-
-// TestShareLowered guards against a pool that stays above a lowered share or goes on
-// opening connections above it. Load: 16 accounts with a statement of 8 ms every 100 ms
-// each; the share falls from 8 to 2 when other hosts appear.
-func TestShareLowered(t *testing.T) {
-	h := newAccountHarness(t, 8, 16, 8)
-	results := counts{}
-	for i := range 16 {
-		h.streamAs(fmt.Sprintf("k%d", i), 100, 6000, &results)
-	}
-	h.run(3000)
-	h.execute(h.m.SetPlacement(h.Now(), placement(3)))
-	h.run(200)
-	h.checkSend = func(c *conn) {
-		if size := c.server.pool.Size(); size > minShare {
-			t.Fatalf("%d connections to server %s, want at most %d", size, c.server.ID, minShare)
-		}
-	}
-	h.run(4000)
-	t.Logf("%+v, connections %+v", results, h.m.AccountConnCounts())
-	if results.served != 16*60 {
-		t.Errorf("%+v, want all %d served", results, 16*60)
+	if results.served != 1000 {
+		t.Errorf("%+v, want all 1000 served", results)
 	}
 }
 
-// TestAccountRefused guards against a daemon that goes on opening connections at a server
-// that is full, and one that does not give idle ones up for other accounts.
-func TestAccountRefused(t *testing.T) {
-	h := newAccountHarness(t, 8, 16, 8)
-	h.connectionLimit = 4
-	results := counts{}
-	for i := range 16 {
-		h.streamAs(fmt.Sprintf("k%d", i), 100, 6000, &results)
-	}
-	h.run(8000)
-	t.Logf("%+v, connections %+v, refused %d", results, h.m.AccountConnCounts(), h.refused)
-	if results.served != 16*60 || h.refused > 30 {
-		t.Errorf("%+v and %d connections refused, want all %d served and at most 30 refused", results, h.refused, 16*60)
-	}
-}
-
-// TestAccountDenied guards against an account that the servers refuse and whose statements
-// keep other accounts from opening connections. Load: a statement of that account every
-// 20 ms, and 16 accounts with one every 100 ms each over 8 connections to each server.
-func TestAccountDenied(t *testing.T) {
-	h := newAccountHarness(t, 8, 17, 8)
-	h.denied = "a0"
-	denied, others := counts{}, counts{}
-	h.streamAs("k0", 20, 6000, &denied)
-	for i := range 16 {
-		h.streamAs(fmt.Sprintf("k%d", i+1), 100, 6000, &others)
-	}
-	h.run(8000)
-	if others.served != 16*60 || others.slowest > 100 {
-		t.Errorf("others %+v, want all %d served within 100 ms", others, 16*60)
-	}
-	if denied.served > 0 || denied.rejected != 300 || h.refused > 30 {
-		t.Errorf("denied account %+v with %d connections refused, want 300 rejected statements and at most 30 connections", denied, h.refused)
+// TestAccountLoads guards against accounts that wait for long, or whose work is rejected,
+// because other accounts hold or take the connections: 8 to each server.
+func TestAccountLoads(t *testing.T) {
+	tests := map[string]struct {
+		// run starts the load; results counts the statements that must be served.
+		run              func(h *harness, results *counts)
+		served, slowest  int
+		refused, evicted int
+	}{
+		"rarely active accounts among busy ones": {
+			// 7 accounts with a statement every 40 ms each, from which 7 others, each with
+			// one statement, 3 s apart, must not take connections again and again.
+			run: func(h *harness, results *counts) {
+				h.streamAs(0, 7, 40, 30_000, &counts{})
+				h.run(10_000)
+				for i := range 7 {
+					h.After(timekeeper.Millis(3000*i), func() { h.streamAs(7+i, 8+i, 1, 1, results) })
+				}
+			},
+			served: 7, slowest: 80, evicted: 14,
+		},
+		"one account floods": {
+			// 40 statements at once every 50 ms, more than the servers run, beside 20 accounts
+			// with one every 200 ms each.
+			run: func(h *harness, results *counts) {
+				for range 40 {
+					h.streamAs(0, 1, 50, 10_000, &counts{})
+				}
+				for i := range 20 {
+					h.After(timekeeper.Millis(10*i), func() { h.streamAs(1+i, 2+i, 200, 10_000, results) })
+				}
+			},
+			served: 1000, slowest: 200, evicted: 1200,
+		},
+		"the share is lowered while the pool is full": {
+			// 16 accounts with a statement every 100 ms each; the share falls to 2.
+			run: func(h *harness, results *counts) {
+				h.streamAs(0, 16, 100, 6000, results)
+				h.run(3000)
+				h.execute(h.m.SetPlacement(h.Now(), placement(3)))
+				h.run(200)
+				h.checkSend = func(c *conn) {
+					if size := c.server.pool.Size(); size > minShare {
+						h.t.Fatalf("%d connections to server %s, want at most %d", size, c.server.ID, minShare)
+					}
+				}
+			},
+			served: 960, slowest: 400, evicted: 960,
+		},
+		"the server accepts half of the share": {
+			run: func(h *harness, results *counts) {
+				h.connectionLimit = 4
+				h.streamAs(0, 16, 100, 6000, results)
+			},
+			served: 960, slowest: 400, refused: 30, evicted: 960,
+		},
+		"the servers refuse one account": {
+			// A statement of that account every 20 ms, beside 16 accounts with one every 100 ms
+			// each.
+			run: func(h *harness, results *counts) {
+				h.denied = "a0"
+				h.streamAs(0, 1, 20, 6000, &counts{})
+				h.streamAs(1, 17, 100, 6000, results)
+			},
+			served: 960, slowest: 100, refused: 30, evicted: 960,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newAccountHarness(t, 8, 21, 8)
+			results := counts{}
+			test.run(h, &results)
+			h.run(22_000)
+			if results.served != test.served || results.slowest > timekeeper.Millis(test.slowest) {
+				t.Errorf("%+v, want all %d served within %d ms", results, test.served, test.slowest)
+			}
+			if evicted := h.m.AccountConnCounts().Evicted; evicted > uint64(test.evicted) || h.refused > test.refused {
+				t.Errorf("%d connections evicted and %d refused, want at most %d and %d", evicted, h.refused, test.evicted, test.refused)
+			}
+		})
 	}
 }
 
@@ -221,20 +192,21 @@
 		}
 	}
 	results := counts{}
-	for i := range 10 {
-		h.streamAs(fmt.Sprintf("k%d", i), 50, 2500, &results)
-	}
+	h.streamAs(0, 10, 50, 2500, &results)
 	h.run(membershipSettleTime)
 	if results.served != 500 {
 		t.Errorf("%+v, want all 500 served", results)
 	}
 }
 
-// streamAs runs a read with a key at an interval for some time and counts the results.
-func (h *harness) streamAs(key string, interval, length timekeeper.Millis, results *counts) {
+// streamAs runs a read of each account from one number up to another at an interval for
+// some time, and counts the results.
+func (h *harness) streamAs(from, to int, interval, length timekeeper.Millis, results *counts) {
 	for at := timekeeper.Millis(0); at < length; at += interval {
 		h.After(at, func() {
-			h.runStatement("standard", key, Statement{Kind: KindRead}, results.add)
+			for i := from; i < to; i++ {
+				h.runStatement("standard", fmt.Sprintf("k%d", i), Statement{Kind: KindRead}, results.add)
+			}
 		})
 	}
 }
--- a/pooler/account_test.go
+++ b/pooler/account_test.go
@@ -218,28 +218,3 @@
 		})
 	})
 }
-
-// BenchmarkTakeOrOpen measures one operation of accounts in turn on 25 connections, of
-// which most evict a connection.
-func BenchmarkTakeOrOpen(b *testing.B) {
-	for _, accounts := range []int{10, 100, 10_000} {
-		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
-			last := Conn(0)
-			p := New(25, 0, func() Conn { last++; return last })
-			names := make([]string, accounts)
-			for i := range names {
-				names[i] = fmt.Sprintf("a%d", i)
-			}
-			b.ReportAllocs()
-			for i := range b.N {
-				now, name := timekeeper.Millis(i), names[i*7919%accounts]
-				if !p.CanTakeAs(scheduler.RankUrgent, name) {
-					conn, _, _ := p.OpenAs(now, scheduler.RankUrgent, name, nil)
-					p.MarkOpen(now, conn)
-				}
-				conn, _ := p.TakeAs(now, scheduler.RankUrgent, name)
-				p.Put(now+8, conn)
-			}
-		})
-	}
-}
