--- a/cataloger/account.go
+++ b/cataloger/account.go
@@ -1,8 +1,11 @@
 package cataloger
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"github.com/heatherhall/heatherhall/scheduler"
 )
@@ -71,6 +74,14 @@
 	return len(c.accounts)
 }
 
+// LargestAccounts returns the names of the n accounts with the highest rate limits.
+func (c Catalog) LargestAccounts(n int) []string {
+	names := slices.SortedFunc(maps.Keys(c.accounts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.accounts[b].RateLimit, c.accounts[a].RateLimit), cmp.Compare(a, b))
+	})
+	return names[:min(n, len(names))]
+}
+
 // Account returns the account with the name, or false if there is none.
 func (c Catalog) Account(name string) (Account, bool) {
 	a, found := c.accounts[name]
--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -28,9 +28,18 @@
 	// demandPeriod is the time between two messages to another domain's coordinator,
 	// and minDemandPeriod that after a change.
 	demandPeriod, minDemandPeriod timekeeper.Millis = 250, 20
+	// countPeriod is the time between two counts of all accounts' demand.
+	countPeriod timekeeper.Millis = 50
+	// entriesPerPeriod is how many accounts lengthen the time between two messages by
+	// another demandPeriod, up to maxDemandPeriod, so that they fit narrow links.
+	entriesPerPeriod                   = 200
+	maxDemandPeriod  timekeeper.Millis = 750
 	// silenceLimit is the silence after which the coordinators of two domains presume
 	// that they are cut off from each other.
 	silenceLimit timekeeper.Millis = 1000
+	// capacityTime is how long a bucket takes to shrink to nothing. Tokens would be lost
+	// with a rate share that moves, before the other domain can borrow them.
+	capacityTime timekeeper.Millis = 2000
 	// demandReserve is how much more than its measured demand a domain is to get.
 	demandReserve = 1.25
 	// countsInMemory is over how many operations at the rate limit an account's demand is
@@ -53,7 +62,9 @@
 	demand    float64
 	gifts     map[string]*gift
 	usedAt    timekeeper.Millis
-	loan      loan
+	// capacity is that of the bucket, which follows a lower rate share slowly.
+	capacity float64
+	loan     loan
 	// loggedShare is the rate share that was last logged.
 	loggedShare float64
 }
@@ -64,6 +75,8 @@
 	// loweredIn on, and charged what it may be using until it has confirmed that.
 	given, charged float64
 	loweredIn      int64
+	// planned is what is to be given once the deputy knows, and told what it was told.
+	planned, told float64
 	// held is the part that this domain may use of the other's.
 	held float64
 	// demand is that of the other domain.
@@ -89,6 +102,10 @@
 	// changed says that the peer should hear of a change early.
 	changed bool
 	sentAt  timekeeper.Millis
+	// lowered says that a gift of the peer fell in a message that is not confirmed yet,
+	// because the deputy does not know of it; confirms is the last that may be.
+	lowered  bool
+	confirms int64
 	// removedAt is when the domain's last host has disappeared; 0 if it has hosts.
 	removedAt timekeeper.Millis
 }
@@ -206,14 +223,19 @@
 	if s.unsettled(now) {
 		rate = 0
 	}
-	t.bucket.refill(now, rate, max(s.minCapacity(), float64(t.account.Burst)*share/2))
+	capacity := max(s.minCapacity(), float64(t.account.Burst)*share/2)
+	if elapsed := now - t.bucket.refilledAt; elapsed < capacityTime {
+		capacity = max(capacity, t.capacity-float64(t.account.Burst)/2*float64(elapsed)/float64(capacityTime))
+	}
+	t.capacity = min(capacity, max(s.minCapacity(), float64(t.account.Burst)/2))
+	t.bucket.refill(now, rate, t.capacity)
 	return rate
 }
 
 // count adds operations to an account's demand.
 func (t *tally) count(now timekeeper.Millis, n int) {
 	if elapsed := now - t.countedAt; elapsed >= demandPeriod {
-		memory := min(max(countsInMemory*1000/float64(t.account.RateLimit), float64(demandPeriod)), float64(maxMemory))
+		memory := min(max(countsInMemory*1000/float64(t.account.RateLimit), float64(2*demandPeriod)), float64(maxMemory))
 		weight := float64(elapsed) / (float64(elapsed) + memory)
 		t.demand += weight * (float64(t.counted)*1000/float64(elapsed) - t.demand)
 		t.counted, t.countedAt = 0, now
@@ -223,7 +245,7 @@
 
 // demandNow returns an account's demand. It follows a sudden increase at once.
 func (t *tally) demandNow(now timekeeper.Millis) float64 {
-	const shortest, enough = 50, 3
+	const shortest, enough = 100, 8
 	if t.counted < enough {
 		return t.demand
 	}
@@ -272,7 +294,7 @@
 		// Tokens that expire unused are lost to the account, so half of them stay here.
 		out.Ahead = t.bucket.take(min(item.Ahead, int(t.bucket.tokens/2)), 0)
 	}
-	if out.Granted < item.Need && s.borrow(now, t, item.Need-out.Granted) {
+	if out.Granted < item.Need && s.borrow(now, t, item.Need-out.Granted+int(t.demandNow(now)*float64(loanAhead)/1000)) {
 		out.Again = borrowTime
 	} else if out.Granted < item.Need {
 		out.Retry = max(1, t.bucket.due(1, rate))
@@ -314,28 +336,36 @@
 		if surplus > 0 && missing > 0 {
 			given = min(1, surplus/missing) * max(0, target(name, g.demand)-s.base(name))
 		}
-		s.give(p, g, given)
+		s.give(now, p, g, given)
 	}
 	s.logShare(now, t)
 }
 
 // minGiftChange is the change of a gift below which the other domain isn't told.
-const minGiftChange = 0.01
+const minGiftChange = 0.05
 
 // give changes what another domain may use. An increase counts against this domain at
-// once, a decrease only once the other has confirmed it.
-func (s *shard) give(p *peer, g *gift, given float64) {
+// once and is announced when the deputy knows of it; a decrease counts only once the
+// other domain has confirmed it.
+func (s *shard) give(now timekeeper.Millis, p *peer, g *gift, given float64) {
+	g.planned = g.given
 	if math.Abs(given-g.given) < minGiftChange && (given > 0 || g.given == 0) {
 		return
 	}
+	p.changed = p.changed || math.Abs(given-g.given) > 2*minGiftChange
 	if given < g.given {
 		g.loweredIn = p.sent + 1
+		g.given, g.planned = given, given
+		return
 	}
-	if math.Abs(given-g.given) > 5*minGiftChange {
-		p.changed = true
+	switch {
+	case s.part(now) < 1: // the deputy may be granting what would be given
+	case s.alone():
+		g.given, g.planned = given, given
+		g.charged = max(g.charged, given)
+	default:
+		g.planned, s.dirty = given, true
 	}
-	g.given = given
-	g.charged = max(g.charged, given)
 }
 
 // logShare logs a rate share that has changed by more than a tenth of the rate.
--- a/limiter/demand.go
+++ b/limiter/demand.go
@@ -22,12 +22,17 @@
 		if r.From != p.host.Name && p.from == p.host.Name && now-p.heardAt < silenceLimit {
 			return DemandAnswer{} // the coordinator in this daemon's order is live
 		}
-		p.from, p.epoch, p.heard = r.From, r.Epoch, 0
+		p.from, p.epoch, p.heard, p.confirms = r.From, r.Epoch, 0, 0
 	}
 	if r.Number <= p.heard {
 		return DemandAnswer{}
 	}
 	p.heard, p.heardAt = r.Number, now
+	defer func() {
+		if !p.lowered || s.alone() {
+			p.lowered, p.confirms = false, p.heard
+		}
+	}()
 	if r.HeardEpoch == c.epoch {
 		p.confirmed = max(p.confirmed, min(r.Heard, p.sent))
 	}
@@ -47,6 +52,9 @@
 		named[e.Account], touched[e.Account] = true, true
 		g := t.gift(r.Domain)
 		s.refill(now, t)
+		if e.Gift < g.held {
+			p.lowered, s.dirty = true, true
+		}
 		g.demand, g.held = e.Demand, e.Gift
 		g.charged = max(g.charged, e.Uses)
 		if g.charged > g.given && g.loweredIn == 0 {
@@ -60,6 +68,9 @@
 		}
 		if !named[name] && (g.held > 0 || g.demand > 0) {
 			s.refill(now, t)
+			if g.held > 0 {
+				p.lowered, s.dirty = true, true
+			}
 			g.held, g.demand = 0, 0
 			touched[name] = true
 		}
@@ -87,7 +98,7 @@
 			continue
 		}
 		entries := s.entries(now, domain)
-		p.sentAt, p.nextSend, p.changed = now, now+demandPeriod, false
+		p.sentAt, p.nextSend, p.changed = now, now+min(demandPeriod*timekeeper.Millis(1+len(entries)/entriesPerPeriod), maxDemandPeriod), false
 		if len(entries) == 0 && !p.toldEntries {
 			continue
 		}
@@ -95,7 +106,7 @@
 		p.sent++
 		r := DemandRequest{
 			From: s.coord.placement.Self().Name, Domain: s.coord.placement.Self().Domain, Shard: s.number, Epoch: s.coord.epoch,
-			Number: p.sent, Heard: p.heard, HeardEpoch: p.epoch, Entries: entries,
+			Number: p.sent, Heard: p.confirms, HeardEpoch: p.epoch, Entries: entries,
 		}
 		out = append(out, Message{To: p.host, Demand: &r})
 	}
--- a/limiter/gateway.go
+++ b/limiter/gateway.go
@@ -79,16 +79,17 @@
 	placed    bool
 	routes    []*route
 	accounts  map[string]*ledger
-	// active are the accounts that have operations waiting or tokens to request.
-	active    map[string]*ledger
-	numbers   uint64
-	inFlight  map[uint64]*route
-	decisions []Decision
-	sweepAt   timekeeper.Millis
+	// active are the accounts that have operations waiting, and due those that the next
+	// request is to name.
+	active, due map[string]*ledger
+	numbers     uint64
+	inFlight    map[uint64]*route
+	decisions   []Decision
+	sweepAt     timekeeper.Millis
 }
 
 func newGateway(deps Deps, stats *Stats) *Gateway {
-	return &Gateway{deps: deps, stats: stats, accounts: map[string]*ledger{}, active: map[string]*ledger{}, inFlight: map[uint64]*route{}}
+	return &Gateway{deps: deps, stats: stats, accounts: map[string]*ledger{}, active: map[string]*ledger{}, due: map[string]*ledger{}, inFlight: map[uint64]*route{}}
 }
 
 // ledger returns the state of an account with the limits of its current definition.
@@ -134,7 +135,7 @@
 	l.demand++
 	if len(l.waiting) == 0 && l.held(now) > 0 {
 		l.grants[0].count--
-		g.stats.Admitted[account.Name]++
+		g.stats.add(account.Name, Count{Admitted: 1})
 		g.askAhead(now, l)
 		return Decision{ID: id}
 	}
@@ -142,14 +143,14 @@
 		return g.refuse(now, l, id, "no tokens")
 	}
 	l.waiting = append(l.waiting, waiter{id: id, since: now})
-	g.active[account.Name] = l
+	g.active[account.Name], g.due[account.Name] = l, l
 	return Decision{ID: id, Outcome: Waiting}
 }
 
 // askAhead makes the next request ask for tokens of a busy account.
 func (g *Gateway) askAhead(now timekeeper.Millis, l *ledger) {
 	if now >= l.askAheadAt && l.ahead(now) > 0 {
-		g.active[l.account.Name] = l
+		g.due[l.account.Name] = l
 	}
 }
 
@@ -166,7 +167,7 @@
 // return at different times.
 func (g *Gateway) refuse(now timekeeper.Millis, l *ledger, id, reason string) Decision {
 	l.refusals++
-	g.stats.Refused[l.account.Name]++
+	g.stats.add(l.account.Name, Count{Refused: 1})
 	if now-l.loggedAt >= rejectionLogInterval || l.loggedAt == 0 {
 		g.deps.Log(observer.Decision{Part: "account " + l.account.Name, Outcome: "rejected: " + reason, Inputs: []observer.Field{
 			observer.F("limit", l.account.RateLimit), observer.F("burst", l.account.Burst), observer.F("tokens", l.held(now)),
@@ -194,7 +195,7 @@
 		return
 	}
 	l.charged++
-	g.active[account.Name] = l
+	g.due[account.Name] = l
 }
 
 func (g *Gateway) cancel(id, account string) {
@@ -288,7 +289,7 @@
 		case granted > 0:
 			granted--
 			g.admitWaiting(w)
-			g.stats.Admitted[l.account.Name]++
+			g.stats.add(l.account.Name, Count{Admitted: 1})
 		case item.Again > 0:
 			l.againAt = now + item.Again
 			kept = append(kept, w)
@@ -329,8 +330,11 @@
 		l := g.active[name]
 		l.measure(now)
 		g.tickWaiting(now, l)
-		if len(l.waiting) == 0 && l.charged == 0 && l.ahead(now) == 0 {
+		switch {
+		case len(l.waiting) == 0:
 			delete(g.active, name)
+		case l.asked == 0 && now >= l.againAt:
+			g.due[name] = l
 		}
 	}
 	if now < g.sweepAt {
@@ -353,7 +357,7 @@
 		case w.due > 0 && now > w.due+tokenLifetime:
 			g.decisions = append(g.decisions, g.refuse(now, l, w.id, "the token has expired"))
 		case w.due > 0 && now >= w.due:
-			g.stats.Admitted[l.account.Name]++
+			g.stats.add(l.account.Name, Count{Admitted: 1})
 			g.admitWaiting(w)
 		case w.due == 0 && now-w.since >= maxWait:
 			g.decisions = append(g.decisions, g.decideAlone(now, l, w))
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -67,14 +67,6 @@
 	borrowedFrom string
 }
 
-// Stats counts what a Limiter has done.
-type Stats struct {
-	// Admitted and Refused count operations by account.
-	Admitted, Refused map[string]int64
-	// Sent and Received count messages to and from other daemons.
-	Sent, Received int64
-}
-
 // Limiter is one daemon's part in enforcing rate limits, as a gateway and as a
 // coordinator. It is not safe for concurrent use.
 type Limiter struct {
@@ -97,22 +89,12 @@
 	if deps.Log == nil {
 		deps.Log = func(observer.Decision) {}
 	}
-	l := &Limiter{deps: deps, sent: map[uint64]Message{}, stats: Stats{Admitted: map[string]int64{}, Refused: map[string]int64{}}}
+	l := &Limiter{deps: deps, sent: map[uint64]Message{}, stats: Stats{Accounts: map[string]Count{}}}
 	l.gateway = newGateway(deps, &l.stats)
 	l.coord = newCoordinator(epoch, deps)
 	return l
 }
 
-// Stats returns the counters, which must not be changed.
-func (l *Limiter) Stats() Stats {
-	return l.stats
-}
-
-// Shares returns the part of each account's rate that this daemon grants.
-func (l *Limiter) Shares(now timekeeper.Millis) map[string]float64 {
-	return l.coord.shares(now)
-}
-
 // shardCount returns the number of shards, which depends on the largest domain.
 func shardCount(p placer.Placement) int {
 	largest := 0
--- a/limiter/loan.go
+++ b/limiter/loan.go
@@ -8,7 +8,10 @@
 	borrowTime timekeeper.Millis = 10
 	// minEmptyTime and maxEmptyTime bound how long a domain is not asked that had too
 	// few tokens, and lostLoanPause that for one that did not answer.
-	minEmptyTime, maxEmptyTime, lostLoanPause timekeeper.Millis = 20, 250, 1000
+	minEmptyTime, maxEmptyTime, lostLoanPause timekeeper.Millis = 20, 100, 1000
+	// loanAhead is the time whose demand a coordinator asks tokens for, beside those that
+	// it needs at once.
+	loanAhead timekeeper.Millis = 200
 	// loanReserve is the time whose own demand a domain keeps tokens for.
 	loanReserve timekeeper.Millis = 100
 )
@@ -33,10 +36,14 @@
 	if t.loan.inFlight {
 		return true
 	}
-	best := ""
+	best, soon := "", false
 	for _, domain := range sortedBy(s.peers) {
 		p := s.peers[domain]
-		if now < t.loan.emptyUntil[domain] || p.host.Name == "" || p.removedAt > 0 {
+		if wait := t.loan.emptyUntil[domain] - now; wait > 0 {
+			soon = soon || wait <= minEmptyTime+borrowTime
+			continue
+		}
+		if p.host.Name == "" || p.removedAt > 0 {
 			continue
 		}
 		if best == "" || t.gift(domain).demand < t.gift(best).demand {
@@ -45,7 +52,7 @@
 	}
 	t.loan.wanted, t.loan.domain = wanted, best
 	if best == "" {
-		return false
+		return soon
 	}
 	s.borrowing = append(s.borrowing, t)
 	return true
@@ -83,16 +90,29 @@
 			continue
 		}
 		rate := s.refill(now, t)
-		spare := int(t.bucket.tokens - t.demandNow(now)*float64(loanReserve)/1000)
+		own := t.recentDemand(now)
+		spare := int(t.bucket.tokens - own*float64(loanReserve)/1000)
 		out := TokensGrant{Account: item.Account, Granted: t.bucket.take(min(item.Need, max(0, spare)), 0)}
 		if out.Granted < item.Need {
-			out.Retry = max(1, t.bucket.due(1, rate))
+			out.Retry = maxEmptyTime
+			if own < rate {
+				out.Retry = max(1, t.bucket.due(1+own*float64(loanReserve)/1000, rate-own))
+			}
 		}
 		a.Items = append(a.Items, out)
 	}
 	return a
 }
 
+// recentDemand returns an account's demand. It follows a sudden decrease soon.
+func (t *tally) recentDemand(now timekeeper.Millis) float64 {
+	elapsed := now - t.countedAt
+	if elapsed < loanReserve {
+		return t.demand
+	}
+	return min(t.demand, float64(t.counted+1)*1000/float64(elapsed))
+}
+
 // borrowed handles the answer of another domain's coordinator.
 func (c *Coordinator) borrowed(now timekeeper.Millis, r TokensRequest, domain string, a TokensAnswer) {
 	if r.Shard >= len(c.shards) {
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -78,8 +78,13 @@
 	// Ping marks a message of the deputy, and Granting says that it grants tokens.
 	Ping     bool `json:"ping,omitempty"`
 	Granting bool `json:"granting,omitempty"`
-	// Leaving says that the sender is the deputy no longer.
-	Leaving bool `json:"leaving,omitempty"`
+	// Resigned says that the sender is the deputy no longer, and Leaving that it ends.
+	Resigned bool `json:"resigned,omitempty"`
+	Leaving  bool `json:"leaving,omitempty"`
+	// Want asks for the coordinator's state, and Known is the number of the last state
+	// that the deputy got.
+	Want  bool  `json:"want,omitempty"`
+	Known int64 `json:"known,omitempty"`
 	// Handover says that the deputy was the coordinator before, and State what it knew.
 	Handover bool         `json:"handover,omitempty"`
 	State    []StateEntry `json:"state,omitempty"`
@@ -102,9 +107,10 @@
 }
 
 // DemandAnswer answers a DemandRequest. The answer to a ping holds what the deputy
-// needs to take over.
+// needs to take over if Full, the state's number, is set.
 type DemandAnswer struct {
 	State []StateEntry `json:"state,omitempty"`
+	Full  int64        `json:"full,omitempty"`
 	// Host and Address name the coordinator that the daemon knows of.
 	Host    string `json:"host,omitempty"`
 	Address string `json:"address,omitempty"`
--- a/limiter/ping.go
+++ b/limiter/ping.go
@@ -1,6 +1,9 @@
 package limiter
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/heatherhall/heatherhall/placer"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
@@ -16,14 +19,17 @@
 		}
 		s.nextPing = now + pingPeriod
 		if s.resignedAt > 0 {
-			out = append(out, Message{To: s.resignTo, Demand: s.ping(DemandRequest{Ping: true, Leaving: true})})
+			out = append(out, Message{To: s.resignTo, Demand: s.ping(DemandRequest{Ping: true, Resigned: true})})
 			if now-s.resignedAt > resignTime {
 				s.resignedAt = 0
 			}
 		}
 		switch {
 		case s.role == roleSecond:
-			ping := s.ping(DemandRequest{Ping: true, Granting: s.granting, Leaving: c.leaving, Handover: s.handover})
+			ping := s.ping(DemandRequest{Ping: true, Granting: s.granting, Leaving: c.leaving, Handover: s.handover, Want: now >= s.stateAt, Known: s.known})
+			if ping.Want {
+				s.stateAt = now + statePeriod
+			}
 			if s.handover {
 				ping.State = s.state()
 			}
@@ -49,7 +55,7 @@
 		s.claim(now, placer.Host{Name: r.From, Domain: r.Domain, Address: r.Address})
 	}
 	if r.Ping && s.role == roleFirst {
-		s.deputies[r.From] = deputy{at: now, grants: r.Granting, resigns: r.Leaving}
+		s.deputies[r.From] = deputy{at: now, grants: r.Granting, resigns: r.Resigned || r.Leaving, leaves: r.Leaving}
 		s.updateGranting(now)
 		if r.Handover && !s.settled && now-s.grantsSince < silenceLimit {
 			s.setState(now, r.State)
@@ -57,7 +63,16 @@
 		}
 	}
 	a := DemandAnswer{Leaving: s.coord.leaving}
-	if r.Ping {
+	if r.Ping && s.role == roleFirst && r.From == s.deputyName() {
+		s.stateKnown(now, r.Known)
+	}
+	if r.Ping && (r.Want || s.dirty) {
+		s.stateNumber++
+		s.dirty, s.stateHeard = false, map[string]int64{}
+		for domain, p := range s.peers {
+			s.stateHeard[domain] = p.heard
+		}
+		a.Full = s.stateNumber
 		a.State = s.state()
 	}
 	if len(s.order) > 0 {
@@ -66,17 +81,55 @@
 	return a
 }
 
+// deputyName returns the name of the deputy in this daemon's list.
+func (s *shard) deputyName() string {
+	if len(s.order) < 2 {
+		return ""
+	}
+	return s.order[1].Name
+}
+
+// stateKnown handles the deputy's confirmation of a state: gifts that were in it can be
+// announced, and messages that went into it confirmed.
+func (s *shard) stateKnown(now timekeeper.Millis, number int64) {
+	if number != s.stateNumber || s.stateHeard == nil || s.part(now) < 1 {
+		return
+	}
+	for domain, heard := range s.stateHeard {
+		p := s.peers[domain]
+		if p == nil {
+			continue
+		}
+		p.changed = p.changed || p.lowered
+		p.confirms = max(p.confirms, min(heard, p.heard))
+		p.lowered = p.lowered && p.confirms < p.heard
+	}
+	s.stateHeard = nil
+	for _, t := range s.accounts {
+		for domain, g := range t.gifts {
+			if p := s.peers[domain]; p != nil && min(g.planned, g.told) > g.given {
+				s.refill(now, t)
+				g.given, p.changed = min(g.planned, g.told), true
+				g.charged = max(g.charged, g.given)
+			}
+		}
+	}
+}
+
 // state returns what passes between this domain and the others.
 func (s *shard) state() []StateEntry {
 	var out []StateEntry
-	for _, name := range sortedBy(s.accounts) {
-		t := s.accounts[name]
-		for _, domain := range sortedBy(t.gifts) {
-			if g := t.gifts[domain]; g.charged > 0 || g.held > 0 {
-				out = append(out, StateEntry{Account: name, Domain: domain, Given: g.charged, Held: g.held, Demand: g.demand})
+	for name, t := range s.accounts {
+		for domain, g := range t.gifts {
+			g.told = g.planned
+			if g.charged > 0 || g.held > 0 {
+				out = append(out, StateEntry{Account: name, Domain: domain, Given: max(g.charged, g.planned), Held: g.held, Demand: g.demand})
 			}
 		}
 	}
+	slices.SortFunc(out, func(a, b StateEntry) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Domain, b.Domain))
+	})
 	return out
 }
 
@@ -112,6 +165,9 @@
 		s.handover = false
 		return
 	}
-	s.setState(now, a.State)
+	if a.Full > 0 {
+		s.known, s.nextPing = a.Full, now // confirm it at once
+		s.setState(now, a.State)
+	}
 	s.updateGranting(now)
 }
--- a/limiter/route.go
+++ b/limiter/route.go
@@ -99,11 +99,11 @@
 
 // requests returns the requests that are due, at most one for each coordinator.
 func (g *Gateway) requests(now timekeeper.Millis) []outgoing {
-	if len(g.active) == 0 || !g.placed {
+	if len(g.due) == 0 || !g.placed {
 		return nil
 	}
 	byShard := map[int][]string{}
-	for _, name := range sortedBy(g.active) {
+	for _, name := range sortedBy(g.due) {
 		shard := shardOf(name, len(g.routes))
 		byShard[shard] = append(byShard[shard], name)
 	}
@@ -132,7 +132,8 @@
 func (g *Gateway) items(now timekeeper.Millis, names []string) []TokensItem {
 	var out []TokensItem
 	for _, name := range names {
-		l := g.active[name]
+		l := g.due[name]
+		delete(g.due, name)
 		item := TokensItem{Account: name, Charged: l.charged}
 		l.asked = 0
 		for i, w := range l.waiting {
@@ -168,6 +169,7 @@
 	for _, name := range r.asked {
 		if l := g.accounts[name]; l != nil {
 			l.asked = 0
+			g.due[name] = l
 			l.demand, l.charged = l.demand+l.sentDemand, l.charged+l.sentCharged
 			l.sentDemand, l.sentCharged = 0, 0
 		}
@@ -199,7 +201,7 @@
 		}})
 	}
 	if g.placed && g.placement.Rank("fallback/"+l.account.Name) < fallbackHosts && f.bucket.take(1, 0) == 1 {
-		g.stats.Admitted[l.account.Name]++
+		g.stats.add(l.account.Name, Count{Admitted: 1})
 		return Decision{ID: w.id}
 	}
 	l.spread = max(l.spread, 1000)
--- a/multiplexer/admission.go
+++ b/multiplexer/admission.go
@@ -11,6 +11,11 @@
 	return m.catalog.Account(name)
 }
 
+// LargestAccounts returns the names of the n accounts with the highest rate limits.
+func (m *Multiplexer) LargestAccounts(n int) []string {
+	return m.catalog.LargestAccounts(n)
+}
+
 // HasAccounts reports whether the catalog in force has accounts.
 func (m *Multiplexer) HasAccounts() bool {
 	return m.catalog.AccountCount() > 0
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -15,11 +15,13 @@
 // core combines the decision logic of a daemon: the multiplexer schedules statements,
 // the elector manages primaries, and core passes state between them. It does no I/O.
 type core struct {
-	mux      *multiplexer.Multiplexer
-	elector  *elector.Elector
-	limits   *limiter.Limiter
-	grace    registrationGrace
-	settings Settings
+	mux     *multiplexer.Multiplexer
+	elector *elector.Elector
+	limits  *limiter.Limiter
+	// limitsCatalog is the version of the catalog whose largest accounts are counted.
+	limitsCatalog int64
+	grace         registrationGrace
+	settings      Settings
 }
 
 func newCore(settings Settings, muxDeps multiplexer.Deps, electorDeps elector.Deps) *core {
--- a/proxier/limits.go
+++ b/proxier/limits.go
@@ -23,6 +23,10 @@
 	if !c.mux.HasAccounts() {
 		return
 	}
+	if version := c.mux.CatalogVersion(); version != c.limitsCatalog {
+		c.limitsCatalog = version
+		c.limits.SetLargest(c.mux.LargestAccounts(separateAccounts))
+	}
 	if c.elector.HostsKnown() {
 		c.limits.SetPlacement(now, c.placement(now))
 	}
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/heatherhall/heatherhall/limiter"
 	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -72,6 +73,11 @@
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
 	p.metrics.registerGauge("heatherhall_forwards_waiting", "Statements that carriers owe this daemon answers to.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwards) }))
 	p.metrics.registerGauge("heatherhall_carriers_unreachable", "Carriers that do not respond to this daemon.", locked(func() float64 { return float64(p.mux.CarrierLoad().Unreachable) }))
+	p.metrics.registry.MustRegister(newLimitCollector(func() (limiter.Stats, map[string]float64) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.limits.Stats(), p.limits.Shares(p.clock.Now())
+	}))
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
