Choose carriers by the capacity of their hosts

All daemons of a failure domain were equally likely to carry a group, also where hosts differ: one with 0.134 of a core and 10 Mbit/s as one with 0.8 and 200 Mbit/s. The logarithm and the comparisons are integers, so that all processor types get the same order. Where capacities are equal or one is missing, the order is as before.

--- a/elector/row.go
+++ b/elector/row.go
@@ -106,6 +106,9 @@
 	Era int64 `json:"era,omitempty"`
 	// HeldLease is set if the daemon held a primary lease when that era began.
 	HeldLease bool `json:"held,omitempty"`
+	// Capacity is how much work the daemon's host can do for other daemons, compared
+	// with other hosts; 0 if its settings do not say.
+	Capacity int64 `json:"capacity,omitempty"`
 }
 
 // Heartbeat is the latest heartbeat of a daemon.
--- /dev/null
+++ b/placer/order.go
@@ -0,0 +1,89 @@
+package placer
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// candidate is a daemon that may carry a group.
+type candidate struct {
+	host Host
+	hash uint64
+	// distance is a negative logarithm of hash, see negativeLog.
+	distance uint64
+}
+
+// Order returns the daemons of this daemon's failure domain in the order in
+// which they are to carry a group, by rendezvous hashing. Daemons that know the
+// same hosts get the same order, and the loss of a host moves only the groups
+// that it carried. Where the daemons' capacities differ, a daemon comes first for
+// a share of the groups in proportion to its capacity. If a daemon has registered
+// no capacity, all capacities count as equal.
+func (p Placement) Order(group string) []Host {
+	weighted := p.weighted()
+	all := make([]candidate, len(p.local))
+	for i, h := range p.local {
+		all[i] = candidate{host: h, hash: xxhash.Sum64String(h.Name + "/" + group)}
+		if weighted {
+			all[i].distance = negativeLog(all[i].hash)
+		}
+	}
+	slices.SortFunc(all, compareCandidates)
+	out := make([]Host, len(all))
+	for i, c := range all {
+		out[i] = c.host
+	}
+	return out
+}
+
+// weighted reports whether the order depends on the capacities of the daemons of
+// this daemon's failure domain.
+func (p Placement) weighted() bool {
+	differ := false
+	for _, h := range p.local {
+		if h.Capacity <= 0 {
+			return false
+		}
+		differ = differ || h.Capacity != p.local[0].Capacity
+	}
+	return differ
+}
+
+// compareCandidates orders candidates by distance / capacity. Daemons of equal
+// capacity, and all daemons if the distances are 0, are ordered by descending hash:
+// a daemon that joins does not change the order of the others.
+func compareCandidates(a, b candidate) int {
+	// a.distance / a.capacity < b.distance / b.capacity, in exact integers.
+	aHigh, aLow := bits.Mul64(a.distance, uint64(b.host.Capacity))
+	bHigh, bLow := bits.Mul64(b.distance, uint64(a.host.Capacity))
+	return cmp.Or(cmp.Compare(aHigh, bHigh), cmp.Compare(aLow, bLow), cmp.Compare(b.hash, a.hash), cmp.Compare(a.host.Name, b.host.Name))
+}
+
+// logBits is the number of fractional bits of negativeLog.
+const logBits = 40
+
+// negativeLog returns -log2(hash / 2^64) as a fixed-point number with logBits
+// fractional bits. It is at least 1 and does not rise with hash. It computes with
+// integers only, since floating-point logarithms may differ between processor types,
+// and all daemons must get the same order. Each squaring of the mantissa yields the
+// next bit of its logarithm.
+func negativeLog(hash uint64) uint64 {
+	hash = max(hash, 1)
+	exponent := bits.Len64(hash) - 1
+	mantissa := hash << (63 - exponent) // in [1, 2) with 63 fractional bits
+	log := uint64(exponent)
+	for range logBits {
+		high, low := bits.Mul64(mantissa, mantissa)
+		log <<= 1
+		if high>>63 == 1 { // the square is 2 or more
+			log |= 1
+			mantissa = high
+		} else {
+			mantissa = high<<1 | low>>63
+		}
+	}
+	return 64<<logBits - log
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,8 +8,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -31,6 +29,9 @@
 	Domain string
 	// Address is where the daemon accepts connections of other daemons.
 	Address string
+	// Capacity is the weight with which the daemon is chosen as a carrier; 0 if it has
+	// registered none.
+	Capacity int64
 }
 
 // Placement is a daemon's view of the live daemons. It is immutable.
@@ -114,29 +115,3 @@
 	}
 	return min(p.HostCount(), carriersPerDomain*max(p.domains, 1))
 }
-
-// Order returns the daemons of this daemon's failure domain in the order in
-// which they are to carry a group, by rendezvous hashing. Daemons that know the
-// same hosts get the same order, and the loss of a host moves only the groups
-// that it carried.
-func (p Placement) Order(group string) []Host {
-	type weighted struct {
-		host   Host
-		weight uint64
-	}
-	all := make([]weighted, 0, len(p.local))
-	for _, h := range p.local {
-		all = append(all, weighted{h, xxhash.Sum64String(h.Name + "/" + group)})
-	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		if a.weight != b.weight {
-			return cmp.Compare(b.weight, a.weight)
-		}
-		return cmp.Compare(a.host.Name, b.host.Name)
-	})
-	out := make([]Host, len(all))
-	for i, w := range all {
-		out[i] = w.host
-	}
-	return out
-}
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -73,8 +73,12 @@
 	live := c.elector.LiveHosts(now)
 	hosts := make([]placer.Host, 0, len(live))
 	for _, h := range live {
-		hosts = append(hosts, placer.Host{Name: h.Name, Domain: h.Domain, Address: h.Address})
+		hosts = append(hosts, placedHost(h))
 	}
-	self := c.settings.Host
-	return placer.New(placer.Host{Name: self.Name, Domain: self.Domain, Address: self.Address}, hosts).WithPartial(c.elector.HeartbeatsStale(now))
+	return placer.New(placedHost(c.settings.Host), hosts).WithPartial(c.elector.HeartbeatsStale(now))
+}
+
+// placedHost returns what the placement uses of a registration.
+func placedHost(h elector.Host) placer.Host {
+	return placer.Host{Name: h.Name, Domain: h.Domain, Address: h.Address, Capacity: h.Capacity}
 }
