Prefer capable hosts as domain reader and failover coordinator, and shed roles

Cause: both roles went by name or to the first that asked, so that they could be with the smallest host, and a host that became slow, short of memory or whose link was throttled kept all its roles.

Where capacities differ, the domain reader is the most capable daemon; it claims the role in its heartbeat, so that it stays when others join. An overloaded daemon says in its heartbeat that it sheds its roles; the others put it last in their orders, at most one in three of a domain.

--- a/detourer/detourer.go
+++ b/detourer/detourer.go
@@ -68,6 +68,8 @@
 	// is live.
 	From        string `json:"from,omitempty"`
 	Incarnation int64  `json:"incarnation,omitempty"`
+	// Shedding is set if the requester sheds its roles.
+	Shedding bool `json:"shedding,omitempty"`
 }
 
 // CachedRows is a snapshot of a table from another daemon's cache.
--- a/elector/change.go
+++ b/elector/change.go
@@ -152,38 +152,6 @@
 	return e.coordinator.Holder == e.settings.Self.Name && e.coordinator.FencingToken > numberFloor(e.revision.Era)
 }
 
-// acquireCoordinator makes this daemon the failover coordinator if there is none, if it
-// was the last one of an earlier era, if the current one is not registered, or if the
-// current one is not live and a change has been needed or under way for
-// HeartbeatTimeout.
-func (e *Elector) acquireCoordinator(now timekeeper.Millis, g *group) {
-	if e.acquiring || now < e.acquireDue {
-		return
-	}
-	if e.coordinator.Holder != "" && e.coordinator.Holder != e.settings.Self.Name {
-		_, registered := e.hosts[e.coordinator.Holder]
-		neededSince := g.reasonSince
-		if g.record.ChangeReason != "" {
-			neededSince = g.announced
-		}
-		if registered && (e.live(now, e.coordinator.Holder) || now-neededSince < e.settings.HeartbeatTimeout) {
-			return
-		}
-	}
-	next := Coordinator{Holder: e.settings.Self.Name, FencingToken: max(e.coordinator.FencingToken, numberFloor(e.revision.Era)) + 1}
-	e.acquiring, e.acquireDue = true, now+e.settings.HeartbeatInterval
-	e.log("requests the failover coordinator role", observer.F("holder", e.coordinator.Holder), observer.F("fence", next.FencingToken),
-		observer.F("live", e.live(now, e.coordinator.Holder)))
-	e.write(Transaction{
-		Expect: []Row{{Key: coordinatorKey, Version: e.rows[coordinatorKey].Version}},
-		Set:    []Row{encode(coordinatorKey, next)},
-	}, func(_ timekeeper.Millis, result Result, _ Revision) {
-		e.acquiring = false
-		e.log("duty", observer.F("result", result.String()))
-		e.commands = append(e.commands, ReloadRows{})
-	})
-}
-
 // synchronous reports whether the group's primary acknowledges a commit only once a
 // replica has received it, and whether that is known: the catalog in force has the group.
 func (e *Elector) synchronous(g *group) (synchronous, known bool) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -138,8 +138,10 @@
 	heartbeatsAt timekeeper.Millis
 	// heartbeatsEra is the store's era of that reading.
 	heartbeatsEra int64
-	groups        map[string]*group
-	serversByID   map[string]cataloger.Server
+	// readerSince is since when this daemon has been the domain reader; 0 if it is not.
+	readerSince timekeeper.Millis
+	groups      map[string]*group
+	serversByID map[string]cataloger.Server
 
 	lastCommandID     uint64
 	pendingWrites     map[uint64]func(now timekeeper.Millis, result Result, revision Revision)
--- a/elector/heartbeat.go
+++ b/elector/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -18,23 +17,6 @@
 	advanced bool
 }
 
-// DomainReaderAddress returns the address of the domain reader: the daemon that
-// reads the store for this daemon's failure domain. It is the domain's first
-// live daemon by name whose heartbeat was seen to change, since the rows read at
-// the start also list daemons that no longer run. The address is empty if this
-// daemon is the domain reader or none is known.
-func (e *Elector) DomainReaderAddress(now timekeeper.Millis) string {
-	for _, name := range slices.Sorted(maps.Keys(e.hosts)) {
-		if name == e.settings.Self.Name {
-			return ""
-		}
-		if host := e.hosts[name]; host.Domain == e.settings.Self.Domain && e.heartbeats[name].advanced && e.live(now, name) {
-			return host.Address
-		}
-	}
-	return ""
-}
-
 // HeartbeatsStale reports whether the newest reading of the heartbeats is more
 // than two intervals old, so that it is unknown which daemons are live.
 func (e *Elector) HeartbeatsStale(now timekeeper.Millis) bool {
@@ -74,6 +56,7 @@
 			delete(e.heartbeats, name)
 		}
 	}
+	e.updateReaderClaim(now)
 }
 
 // keepLive lets the daemons that are live by the last reading of the heartbeats count as
--- a/elector/row.go
+++ b/elector/row.go
@@ -116,6 +116,12 @@
 	Incarnation int64 `json:"incarnation"`
 	// Count changes with each heartbeat.
 	Count int64 `json:"count"`
+	// Reader is set if the daemon is the domain reader of hosts whose capacities differ.
+	// It stays so when others join.
+	Reader bool `json:"reader,omitempty"`
+	// Shedding is set while the daemon's host is overloaded, so that others are to take
+	// its roles.
+	Shedding bool `json:"shedding,omitempty"`
 }
 
 // Reason is the reason of a primary change.
--- a/placer/order.go
+++ b/placer/order.go
@@ -14,19 +14,27 @@
 	hash uint64
 	// distance is a negative logarithm of hash, see negativeLog.
 	distance uint64
+	// last is set for a daemon that sheds its roles.
+	last bool
 }
 
+// maxSheddingDivisor bounds how many daemons of a failure domain come last in its orders
+// because they shed their roles: one in three. If more are overloaded, the others would
+// be next.
+const maxSheddingDivisor = 3
+
 // Order returns the daemons of this daemon's failure domain in the order in
 // which they are to carry a group, by rendezvous hashing. Daemons that know the
 // same hosts get the same order, and the loss of a host moves only the groups
 // that it carried. Where the daemons' capacities differ, a daemon comes first for
 // a share of the groups in proportion to its capacity. If a daemon has registered
-// no capacity, all capacities count as equal.
+// no capacity, all capacities count as equal. Daemons that shed their roles come last, as
+// far as maxSheddingDivisor allows.
 func (p Placement) Order(group string) []Host {
-	weighted := p.weighted()
+	weighted, last := p.weighted(), p.lastHosts()
 	all := make([]candidate, len(p.local))
 	for i, h := range p.local {
-		all[i] = candidate{host: h, hash: xxhash.Sum64String(h.Name + "/" + group)}
+		all[i] = candidate{host: h, hash: xxhash.Sum64String(h.Name + "/" + group), last: slices.Contains(last, h.Name)}
 		if weighted {
 			all[i].distance = negativeLog(all[i].hash)
 		}
@@ -52,10 +60,37 @@
 	return differ
 }
 
+// lastHosts returns the daemons of this daemon's failure domain that come last in its
+// orders: the first ones by name that shed their roles.
+func (p Placement) lastHosts() []string {
+	var out []string
+	for _, h := range p.hosts {
+		if _, sheds := slices.BinarySearch(p.shedding, h.Name); sheds && h.Domain == p.self.Domain {
+			out = append(out, h.Name)
+		}
+	}
+	return out[:min(len(out), MaxShedding(len(p.local)))]
+}
+
+// MaxShedding returns how many of a failure domain's daemons may shed their roles at the
+// same time. It is at least 1, except that a single daemon has nobody to take its roles.
+func MaxShedding(hosts int) int {
+	if hosts < 2 {
+		return 0
+	}
+	return max(1, hosts/maxSheddingDivisor)
+}
+
 // compareCandidates orders candidates by distance / capacity. Daemons of equal
 // capacity, and all daemons if the distances are 0, are ordered by descending hash:
 // a daemon that joins does not change the order of the others.
 func compareCandidates(a, b candidate) int {
+	if a.last != b.last {
+		if b.last {
+			return -1
+		}
+		return 1
+	}
 	// a.distance / a.capacity < b.distance / b.capacity, in exact integers.
 	aHigh, aLow := bits.Mul64(a.distance, uint64(b.host.Capacity))
 	bHigh, bLow := bits.Mul64(b.distance, uint64(a.host.Capacity))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,8 @@
 	local   []Host
 	domains int
 	partial bool
+	// shedding holds the names of the daemons that shed their roles, sorted.
+	shedding []string
 }
 
 // New returns the placement for the daemon self among the live hosts, which may
@@ -78,6 +80,13 @@
 	return p.partial
 }
 
+// WithShedding returns a copy in which the named daemons shed their roles: they come
+// last in the orders of their failure domain.
+func (p Placement) WithShedding(names []string) Placement {
+	p.shedding = slices.Sorted(slices.Values(names))
+	return p
+}
+
 // Self returns the daemon whose view this is.
 func (p Placement) Self() Host {
 	return p.self
@@ -90,7 +99,7 @@
 
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
-	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts)
+	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts) && slices.Equal(p.shedding, other.shedding)
 }
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -72,10 +72,14 @@
 func (c *core) placement(now timekeeper.Millis) placer.Placement {
 	live := c.elector.LiveHosts(now)
 	hosts := make([]placer.Host, 0, len(live))
+	var shedding []string
 	for _, h := range live {
 		hosts = append(hosts, placedHost(h))
+		if c.elector.Shedding(h.Name) {
+			shedding = append(shedding, h.Name)
+		}
 	}
-	return placer.New(placedHost(c.settings.Host), hosts).WithPartial(c.elector.HeartbeatsStale(now))
+	return placer.New(placedHost(c.settings.Host), hosts).WithPartial(c.elector.HeartbeatsStale(now)).WithShedding(shedding)
 }
 
 // placedHost returns what the placement uses of a registration.
--- a/proxier/heartbeat.go
+++ b/proxier/heartbeat.go
@@ -19,8 +19,9 @@
 // It is safe for concurrent use.
 type heartbeatRelay struct {
 	mu sync.Mutex
-	// heard holds the incarnations of the daemons that were heard since the last write.
-	heard map[string]int64
+	// heard holds the heartbeats, without a count, of the daemons that were heard since
+	// the last write.
+	heard map[string]elector.Heartbeat
 	// writtenAt is when this daemon's last write of heartbeats succeeded.
 	writtenAt timekeeper.Millis
 	// coveredAt is when the domain reader last said that it writes this daemon's
@@ -30,21 +31,21 @@
 
 // record records a sign of life of another daemon and reports whether this daemon
 // writes heartbeats for it.
-func (r *heartbeatRelay) record(now timekeeper.Millis, name string, incarnation int64, interval timekeeper.Millis) bool {
+func (r *heartbeatRelay) record(now timekeeper.Millis, name string, heartbeat elector.Heartbeat, interval timekeeper.Millis) bool {
 	if name == "" {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.heard == nil {
-		r.heard = map[string]int64{}
+		r.heard = map[string]elector.Heartbeat{}
 	}
-	r.heard[name] = incarnation
+	r.heard[name] = heartbeat
 	return r.writtenAt > 0 && now-r.writtenAt <= interval
 }
 
 // take returns the daemons that were heard since the last call.
-func (r *heartbeatRelay) take() map[string]int64 {
+func (r *heartbeatRelay) take() map[string]elector.Heartbeat {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	heard := r.heard
@@ -78,7 +79,8 @@
 
 // fetchCached requests rows from the domain reader. The request also is a sign of life.
 func (p *Proxy) fetchCached(ctx context.Context, reader string, request detourer.RowsRequest) (detourer.CachedRows, error) {
-	request.From, request.Incarnation = p.settings.Host.Name, p.settings.Host.Incarnation
+	own := p.ownHeartbeat(p.clock.Now())
+	request.From, request.Incarnation, request.Shedding = p.settings.Host.Name, own.Incarnation, own.Shedding
 	rows, err := p.peerClient.FetchCached(ctx, reader, request)
 	p.recordDependency("domain reader", err)
 	if err == nil {
@@ -90,10 +92,11 @@
 // serveCached answers another daemon's request for rows and records its sign of life.
 func (p *Proxy) serveCached(ctx context.Context, request detourer.RowsRequest) (detourer.CachedRows, error) {
 	interval := p.settings.Elector.HeartbeatInterval
-	p.heartbeats.record(p.clock.Now(), request.From, request.Incarnation, interval)
+	heartbeat := elector.Heartbeat{Incarnation: request.Incarnation, Shedding: request.Shedding}
+	p.heartbeats.record(p.clock.Now(), request.From, heartbeat, interval)
 	rows, err := p.cache.fetch(ctx, request)
 	if err == nil && ctx.Err() == nil {
-		rows.Covered = p.heartbeats.record(p.clock.Now(), request.From, request.Incarnation, interval)
+		rows.Covered = p.heartbeats.record(p.clock.Now(), request.From, heartbeat, interval)
 	}
 	return rows, err
 }
@@ -125,19 +128,19 @@
 	})
 }
 
-// writeHeartbeats writes the heartbeats of this daemon and of others, by name and
-// incarnation.
-func (p *Proxy) writeHeartbeats(ctx context.Context, now timekeeper.Millis, others map[string]int64) elector.Result {
+// writeHeartbeats writes the heartbeats of this daemon and of others by name.
+func (p *Proxy) writeHeartbeats(ctx context.Context, now timekeeper.Millis, others map[string]elector.Heartbeat) elector.Result {
 	var rows []elector.Row
-	add := func(name string, incarnation int64) {
-		// A struct of two integers always encodes.
-		value, _ := json.Marshal(elector.Heartbeat{Incarnation: incarnation, Count: int64(now)})
+	add := func(name string, heartbeat elector.Heartbeat) {
+		heartbeat.Count = int64(now)
+		// A struct of integers and booleans always encodes.
+		value, _ := json.Marshal(heartbeat)
 		rows = append(rows, elector.Row{Key: name, Value: value})
 	}
-	add(p.settings.Host.Name, p.settings.Host.Incarnation)
-	for name, incarnation := range others {
+	add(p.settings.Host.Name, p.ownHeartbeat(now))
+	for name, heartbeat := range others {
 		if name != p.settings.Host.Name {
-			add(name, incarnation)
+			add(name, heartbeat)
 		}
 	}
 	result := elector.Applied
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/heatherhall/heatherhall/multiplexer"
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/shedder"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
@@ -26,6 +27,8 @@
 	RegistrationGrace timekeeper.Millis
 	// ShutdownGrace is the maximum duration of a graceful shutdown.
 	ShutdownGrace timekeeper.Millis
+	// MemoryLimit is the host's memory in bytes; 0 if unknown.
+	MemoryLimit int64
 	// Elector configures primary changes.
 	Elector elector.Settings
 	// Intervals configures the loops that call the store.
@@ -92,9 +95,14 @@
 	peerClient    *detourer.PeerClient
 	links         *detourer.Links
 	// forwardWaits receive the answers to other daemons' statements.
-	forwardWaits  map[forwardWait]chan multiplexer.ForwardAnswer
-	cache         *cache
-	heartbeats    heartbeatRelay
+	forwardWaits map[forwardWait]chan multiplexer.ForwardAnswer
+	cache        *cache
+	heartbeats   heartbeatRelay
+	// shedder decides whether this daemon sheds its roles, and measuredAt is when it
+	// last did so.
+	shedder       *shedder.Shedder
+	measuredAt    timekeeper.Millis
+	linkDelays    linkDelays
 	watermarks    watermarks
 	registrations registrationTable
 	storeBackoff  *storeBackoff
@@ -119,6 +127,7 @@
 	p.peerClient = detourer.New(settings.Host.Address, net.Dialer{})
 	p.peerClient.AddPeers(settings.Seeds)
 	p.links = detourer.NewLinks(net.Dialer{})
+	p.shedder = shedder.New(shedder.DefaultSettings())
 	p.forwardWaits = map[forwardWait]chan multiplexer.ForwardAnswer{}
 	p.registerGauges()
 	p.core = newCore(settings, multiplexer.Deps{Log: log.LogDecision, Count: metrics.ObserveStatement}, elector.Deps{Log: log.LogDecision})
--- a/proxier/run.go
+++ b/proxier/run.go
@@ -45,7 +45,7 @@
 	p.ctx = ctx
 	p.mu.Unlock()
 	peersDone := make(chan struct{})
-	go detourer.Serve(ctx, peers, p.peerHandler(), peersDone)
+	go detourer.Serve(ctx, measuredListener{peers, &p.linkDelays}, p.peerHandler(), peersDone)
 	p.log.LogDecision(observer.Decision{Part: "daemon", Outcome: "start", Inputs: []observer.Field{
 		observer.F("host", p.settings.Host.Name), observer.F("domain", p.settings.Host.Domain), observer.F("incarnation", p.settings.Host.Incarnation),
 	}})
@@ -66,7 +66,7 @@
 }
 
 // runTicks calls tick periodically and requests a probe of the store while most
-// primaries are unreachable.
+// primaries are unreachable. It also passes on how late its timer is.
 func (p *Proxy) runTicks(ctx context.Context) {
 	for {
 		p.mu.Lock()
@@ -79,9 +79,12 @@
 			notify(p.probeRequested)
 		}
 		p.mu.Unlock()
+		setAt := p.clock.Now()
 		if !sleep(ctx, pause) {
 			return
 		}
+		intended := timekeeper.Millis(pause / time.Millisecond)
+		p.shedRoles(intended, p.clock.Now()-setAt-intended)
 	}
 }
 
