--- a/elector/model_test.go
+++ b/elector/model_test.go
@@ -29,6 +29,8 @@
 	maxCallTime timekeeper.Millis = 1000
 	// maxCopyAge is how old a copy may be that the store is restored from.
 	maxCopyAge timekeeper.Millis = 20_000
+	// sheddingTurn is for how long a daemon sheds its roles.
+	sheddingTurn timekeeper.Millis = 9000
 )
 
 // modelServer is a backend server of the model. All servers answer an Inspect.
@@ -84,8 +86,11 @@
 	revision elector.Revision
 	copies   []modelCopy
 	// late are transactions without an answer that may still take effect.
-	late       []elector.Transaction
-	beats      map[string]int64
+	late  []elector.Transaction
+	beats map[string]elector.Heartbeat
+	// capacities is set if the daemons have different capacities and shed their roles in
+	// turns.
+	capacities bool
 	token      int64
 	holder     string
 	restores   int
@@ -95,7 +100,7 @@
 }
 
 func newModel(seed int64) *model {
-	m := &model{random: rand.New(rand.NewSource(seed)), now: 100_000, rows: map[string]elector.Row{}, revision: elector.Revision{Era: 1}, beats: map[string]int64{}}
+	m := &model{random: rand.New(rand.NewSource(seed)), now: 100_000, rows: map[string]elector.Row{}, revision: elector.Revision{Era: 1}, beats: map[string]elector.Heartbeat{}, capacities: seed%2 == 1}
 	for i := range 3 {
 		m.servers = append(m.servers, &modelServer{id: fmt.Sprintf("s%d", i), primary: i == 0, term: 1})
 	}
@@ -120,8 +125,14 @@
 	d.incarnation++
 	*d = modelDaemon{name: d.name, incarnation: d.incarnation}
 	host := elector.Host{Name: d.name, Domain: "a", Incarnation: d.incarnation, Address: d.name}
+	if m.capacities {
+		host.Capacity = 100 << slices.Index(m.daemons, d)
+	}
 	d.elector = elector.New(elector.DefaultSettings(host), elector.Deps{
 		PrimaryHealth: func(_, server string) elector.PrimaryHealth {
+			if server == "" { // no server was a primary when the daemon started
+				return elector.PrimaryHealth{Quiesced: true}
+			}
 			s := m.server(server)
 			if s.unresponsiveSince > 0 {
 				return elector.PrimaryHealth{UnresponsiveSince: s.unresponsiveSince, Quiesced: true, Term: s.term}
@@ -272,12 +283,9 @@
 			}
 			m.execute(d, m.setServers(d))
 			if !d.cut {
-				m.beats[d.name] = int64(m.now)
-				heartbeats := map[string]elector.Heartbeat{}
-				for name, count := range m.beats {
-					heartbeats[name] = elector.Heartbeat{Count: count}
-				}
-				d.elector.SetHeartbeats(m.now, m.now, m.revision.Era, heartbeats)
+				sheds := m.capacities && m.daemons[m.now/sheddingTurn%modelDaemons] == d
+				m.beats[d.name] = elector.Heartbeat{Incarnation: d.incarnation, Count: int64(m.now), Reader: d.elector.ClaimsReader(m.now), Shedding: sheds}
+				d.elector.SetHeartbeats(m.now, m.now, m.revision.Era, maps.Clone(m.beats))
 				m.finishRead(d, m.read())
 			}
 			for len(d.writes) > 0 {
--- a/placer/order_test.go
+++ b/placer/order_test.go
@@ -256,3 +256,38 @@
 		})
 	}
 }
+
+// TestSheddingHostsComeLast guards against an overloaded host that stays a carrier, and
+// against overload that takes the work of a whole failure domain from its hosts.
+func TestSheddingHostsComeLast(t *testing.T) {
+	hosts := mixedFleet()
+	p := placer.New(hosts[0], hosts)
+	for g := range 50 {
+		group := fmt.Sprintf("g%d", g)
+		order := names(p.Order(group))
+		sheds := []string{order[0], order[2], "h0001"} // the last one is in another domain
+		got := names(p.WithShedding(sheds).Order(group))
+		want := append([]string{order[1]}, order[3:]...)
+		if !slices.Equal(got[:len(want)], want) || !slices.Equal(got[len(want):], []string{order[0], order[2]}) {
+			t.Fatalf("%s: got %v for the order %v without the first and the third", group, got, order)
+		}
+		if all := names(p.WithShedding(names(hosts)).Order(group)); len(all) != len(order) {
+			t.Fatalf("%s: %d hosts if all shed their roles, want %d", group, len(all), len(order))
+		}
+	}
+	all := p.WithShedding(names(hosts))
+	first := map[string]bool{}
+	for g := range 2000 {
+		first[all.Order(fmt.Sprintf("g%d", g))[0].Name] = true
+	}
+	if len(first) < 25 {
+		t.Errorf("%d of 45 hosts carry a group if all are overloaded, want two in three", len(first))
+	}
+	if p.Equal(all) || !all.Equal(p.WithShedding(names(hosts))) {
+		t.Error("placements are compared without the hosts that shed their roles")
+	}
+	alone := placer.New(hosts[0], hosts[:1]).WithShedding([]string{hosts[0].Name})
+	if got := alone.Order("g"); len(got) != 1 {
+		t.Errorf("order of a single host that sheds: got %v", got)
+	}
+}
