--- a/proxier/follower_test.go
+++ b/proxier/follower_test.go
@@ -228,14 +228,18 @@
 	if address == "" {
 		address = listener.Addr().String()
 	}
-	host := elector.Host{Name: name, Domain: "a", Incarnation: 1, Address: address}
+	return startHostDaemon(t, elector.Host{Name: name, Domain: "a", Incarnation: 1, Address: address}, listener, store)
+}
+
+// startHostDaemon starts a daemon on a host that accepts other daemons on a listener.
+func startHostDaemon(t *testing.T, host elector.Host, listener net.Listener, store *memoryStore) *storeDaemon {
 	settings := DefaultSettings(host)
 	settings.Elector.HeartbeatInterval = 300
 	d := &storeDaemon{path: newStorePath(store), frozen: make(chan struct{})}
 	d.Proxy = New(settings, Deps{
 		Scan: d.path.scan, Feed: d.path.feed, Transact: d.path.transact, DecodeCatalog: decodeCatalog,
 		DecodeServer: func(elector.Row) (cataloger.Server, error) { return cataloger.Server{}, nil },
-	}, timekeeper.BootTime(), observer.NewLogger(io.Discard, "error", name), NewMetrics())
+	}, timekeeper.BootTime(), observer.NewLogger(io.Discard, "error", host.Name), NewMetrics())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -72,6 +72,13 @@
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
 	p.metrics.registerGauge("heatherhall_forwards_waiting", "Statements that carriers owe this daemon answers to.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwards) }))
 	p.metrics.registerGauge("heatherhall_carriers_unreachable", "Carriers that do not respond to this daemon.", locked(func() float64 { return float64(p.mux.CarrierLoad().Unreachable) }))
+	p.metrics.registerGauge("heatherhall_shedding", "Whether the daemon sheds its roles because its host is overloaded.", locked(func() float64 {
+		if p.shedder.Shedding() {
+			return 1
+		}
+		return 0
+	}))
+	p.metrics.registerGauge("heatherhall_timer_lag_seconds", "How late the daemon's timer fires on average.", locked(func() float64 { return float64(p.shedder.Lag()) / 1000 }))
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
