--- a/elector/role.go
+++ b/elector/role.go
@@ -95,19 +95,19 @@
 	return e.currentHeartbeat(name).Shedding
 }
 
-// DomainShedding returns how many live daemons this daemon's failure domain has, and how
-// many of the others shed their roles.
-func (e *Elector) DomainShedding(now timekeeper.Millis) (hosts, others int) {
+// DomainShedding returns the live daemons of this daemon's failure domain, how many of the
+// others shed their roles, and whether the daemons' capacities differ.
+func (e *Elector) DomainShedding(now timekeeper.Millis) (hosts []Host, others int, differ bool) {
 	for _, host := range e.LiveHosts(now) {
 		if host.Domain != e.settings.Self.Domain {
 			continue
 		}
-		hosts++
+		hosts = append(hosts, host)
 		if host.Name != e.settings.Self.Name && e.Shedding(host.Name) {
 			others++
 		}
 	}
-	return hosts, others
+	return hosts, others, capacitiesDiffer(hosts)
 }
 
 func (e *Elector) claimsReader(name string) bool {
--- a/placer/order_test.go
+++ b/placer/order_test.go
@@ -165,30 +165,35 @@
 }
 
 // TestLoadByCapacity guards against small hosts that carry as much as large ones. It
-// shows the load of both before and after, from the placement of 8 groups of 1,718
-// statements a second alone, and tests the shares over many groups.
+// shows the load of both before and after, and of small hosts only, from the placement of
+// 8 groups of 1,718 statements a second alone, and tests the shares over many groups.
 func TestLoadByCapacity(t *testing.T) {
 	const groups, rate = 8, 1718.0
 	hosts := mixedFleet()
-	equal := withCapacity(hosts, func(int) int64 { return 0 })
+	equal := func(capacity int64) []placer.Host { return withCapacity(hosts, func(int) int64 { return capacity }) }
 	n := placer.New(hosts[0], hosts).CarriersPerDomain(73, true)
-	for name, fleet := range map[string][]placer.Host{"before": equal, "after": hosts} {
-		count, load, most, roles := map[int64]int{}, map[int64]float64{}, map[int64]float64{}, map[int64]int{}
+	type share struct {
+		hosts, roles int
+		load, most   float64
+	}
+	for _, fleet := range []struct {
+		name string
+		// hosts hold the real capacities and placed what the daemons have registered.
+		hosts, placed []placer.Host
+	}{{"before", hosts, equal(0)}, {"after", hosts, hosts}, {"small hosts only", equal(small), equal(small)}} {
+		shares := map[int64]share{}
 		for _, domain := range []string{"d0", "d1", "d2"} {
-			byHost := carried(fleet, domain, groups, n)
-			for _, h := range hosts {
+			byHost := carried(fleet.placed, domain, groups, n)
+			for _, h := range fleet.hosts {
 				if h.Domain == domain {
-					each := float64(byHost[h.Name]) * rate / 3 / groups / float64(n)
-					count[h.Capacity]++
-					roles[h.Capacity] += byHost[h.Name]
-					load[h.Capacity] += each
-					most[h.Capacity] = max(most[h.Capacity], each)
+					each, s := float64(byHost[h.Name])*rate/3/groups/float64(n), shares[h.Capacity]
+					shares[h.Capacity] = share{s.hosts + 1, s.roles + byHost[h.Name], s.load + each, max(s.most, each)}
 				}
 			}
 		}
-		for size, capacity := range map[string]int64{"small": small, "large": large} {
-			t.Logf("%s: %d %s hosts (capacity %d): %d roles, %.0f statements a second in all, %.1f on average, at most %.1f (%.0f%% of capacity)", name, count[capacity], size,
-				capacity, roles[capacity], load[capacity], load[capacity]/float64(count[capacity]), most[capacity], 100*most[capacity]/float64(capacity))
+		for capacity, s := range shares {
+			t.Logf("%s: %d hosts of capacity %d: %d roles, %.0f statements a second in all, %.1f on average, at most %.1f (%.0f%% of capacity)",
+				fleet.name, s.hosts, capacity, s.roles, s.load, s.load/float64(s.hosts), s.most, 100*s.most/float64(capacity))
 		}
 	}
 	const many = 4000
--- a/proxier/shed.go
+++ b/proxier/shed.go
@@ -13,8 +13,8 @@
 const measureInterval timekeeper.Millis = 1000
 
 // shedRoles decides whether this daemon sheds its roles, after a pause between two ticks
-// that ended late. The next heartbeat tells the other daemons. Hosts without a registered
-// capacity never shed.
+// that ended late. The next heartbeat tells the other daemons. Only daemons of failure
+// domains whose hosts differ shed: equal hosts keep the roles that their names give them.
 func (p *Proxy) shedRoles(pause, late timekeeper.Millis) {
 	if p.settings.Host.Capacity <= 0 {
 		return
@@ -29,8 +29,12 @@
 	p.measuredAt = now
 	p.shedder.ObserveMemory(memoryInUse(), p.settings.MemoryLimit)
 	p.shedder.ObserveLink(p.linkDelays.median())
-	hosts, others := p.elector.DomainShedding(now)
-	if !p.shedder.Update(now, others, placer.MaxShedding(hosts)) {
+	hosts, others, differ := p.elector.DomainShedding(now)
+	if !differ {
+		p.shedder.Stop()
+		return
+	}
+	if !p.shedder.Update(now, others, placer.MaxShedding(len(hosts))) {
 		return
 	}
 	outcome := "takes roles again"
@@ -39,7 +43,7 @@
 	}
 	p.log.LogDecision(observer.Decision{Part: "daemon", Outcome: outcome, Inputs: []observer.Field{
 		observer.F("lag", int64(p.shedder.Lag())), observer.F("memory", p.shedder.Memory()), observer.F("delay", int64(p.shedder.LinkDelay())),
-		observer.F("shedding", others), observer.F("hosts", hosts),
+		observer.F("shedding", others), observer.F("hosts", len(hosts)),
 	}})
 }
 
--- a/proxier/shed_test.go
+++ b/proxier/shed_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// TestEqualHostsKeepTheirRoles guards against roles that move between equal hosts, which
+// are to behave as if they had registered no capacity.
+func TestEqualHostsKeepTheirRoles(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := elector.Host{Name: "d0", Domain: "a", Incarnation: 1, Address: listener.Addr().String(), Capacity: 50}
+	d := startHostDaemon(t, host, listener, newMemoryStore())
+	waitFor(t, "the daemon is registered", func() bool { return len(d.carriers()) == 1 })
+	d.overload()
+	waitFor(t, "the daemon does not shed its roles", func() bool { return !d.ownHeartbeat(d.clock.Now()).Shedding })
+}
+
 // TestMedianDelay guards against a host that sheds its roles because few other hosts have
 // slow links.
 func TestMedianDelay(t *testing.T) {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -106,6 +106,11 @@
 	return false
 }
 
+// Stop makes the daemon take roles again at once.
+func (s *Shedder) Stop() {
+	s.shedding, s.overSince = false, 0
+}
+
 // since returns since when a condition holds, or 0 if it does not hold.
 func since(now timekeeper.Millis, holds bool, before timekeeper.Millis) timekeeper.Millis {
 	if !holds {
