--- a/elector/row.go
+++ b/elector/row.go
@@ -106,6 +106,9 @@
 	Era int64 `json:"era,omitempty"`
 	// HeldLease is set if the daemon held a primary lease when that era began.
 	HeldLease bool `json:"held,omitempty"`
+	// Capacity is how much work the daemon's host can do for other daemons, compared
+	// with other hosts; 0 if its settings do not say.
+	Capacity int64 `json:"capacity,omitempty"`
 }
 
 // Heartbeat is the latest heartbeat of a daemon.
@@ -113,6 +116,12 @@
 	Incarnation int64 `json:"incarnation"`
 	// Count changes with each heartbeat.
 	Count int64 `json:"count"`
+	// Reader is set if the daemon is the domain reader of hosts whose capacities differ.
+	// It stays so when others join.
+	Reader bool `json:"reader,omitempty"`
+	// Shedding is set while the daemon's host is overloaded, so that others are to take
+	// its roles.
+	Shedding bool `json:"shedding,omitempty"`
 }
 
 // Reason is the reason of a primary change.
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -182,7 +182,7 @@
 	if s.claimedAt == 0 || now-s.claimedAt > silenceLimit || slices.ContainsFunc(s.listed, known) {
 		return s.listed
 	}
-	i := slices.IndexFunc(s.listed, func(h placer.Host) bool { return placer.Before(shardKey(s.number), s.claimant.Name, h.Name) })
+	i := slices.IndexFunc(s.listed, func(h placer.Host) bool { return s.coord.placement.Before(shardKey(s.number), s.claimant, h) })
 	if i < 0 {
 		return s.listed
 	}
@@ -194,7 +194,7 @@
 	if h.Name == "" || h.Name == s.coord.placement.Self().Name || s.role == roleNone {
 		return
 	}
-	if s.claimedAt > 0 && h.Name != s.claimant.Name && placer.Before(shardKey(s.number), s.claimant.Name, h.Name) {
+	if s.claimedAt > 0 && h.Name != s.claimant.Name && s.coord.placement.Before(shardKey(s.number), s.claimant, h) {
 		return
 	}
 	s.claimant, s.claimedAt = h, now
--- a/multiplexer/accountconns.go
+++ b/multiplexer/accountconns.go
@@ -19,7 +19,7 @@
 	initialConnectTime = 12.0
 	// openingFactor is how many times the time to open a connection the wait for one of
 	// the account's others must exceed, since opening takes a slot of the server too.
-	openingFactor = 3.0
+	openingFactor = 1.0
 	// takeoverDelay is how long a request may wait before it takes an idle connection from
 	// an account whose own statements wait for it.
 	takeoverDelay timekeeper.Millis = 25
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,6 +37,9 @@
 	Domain string
 	// Address is where the daemon accepts connections of other daemons.
 	Address string
+	// Capacity is the weight with which the daemon is chosen as a carrier; 0 if it has
+	// registered none.
+	Capacity int64
 }
 
 // Placement is a daemon's view of the live daemons. It is immutable.
@@ -47,6 +50,8 @@
 	// domains holds the number of daemons of each failure domain.
 	domains map[string]int
 	partial bool
+	// shedding holds the names of the daemons that shed their roles, sorted.
+	shedding []string
 }
 
 // New returns the placement for the daemon self among the live hosts, which may
@@ -83,6 +88,13 @@
 	return p.partial
 }
 
+// WithShedding returns a copy in which the named daemons shed their roles: they come
+// last in the orders of their failure domain.
+func (p Placement) WithShedding(names []string) Placement {
+	p.shedding = slices.Sorted(slices.Values(names))
+	return p
+}
+
 // Self returns the daemon whose view this is.
 func (p Placement) Self() Host {
 	return p.self
@@ -100,7 +112,7 @@
 
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
-	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts)
+	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts) && slices.Equal(p.shedding, other.shedding)
 }
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
@@ -143,66 +155,3 @@
 	}
 	return best
 }
-
-// Order returns the daemons of this daemon's failure domain in the order in
-// which they are to carry a group, by rendezvous hashing. Daemons that know the
-// same hosts get the same order, and the loss of a host moves only the groups
-// that it carried.
-func (p Placement) Order(group string) []Host {
-	return order(p.local, group)
-}
-
-// OrderIn returns the daemons of any failure domain in the order in which they are to
-// take a role that is named by key.
-func (p Placement) OrderIn(domain, key string) []Host {
-	if domain == p.self.Domain {
-		return order(p.local, key)
-	}
-	var hosts []Host
-	for _, h := range p.hosts {
-		if h.Domain == domain {
-			hosts = append(hosts, h)
-		}
-	}
-	return order(hosts, key)
-}
-
-// Rank returns the position of this daemon in its failure domain's order for key.
-func (p Placement) Rank(key string) int {
-	rank := 0
-	for _, h := range p.local {
-		if Before(key, h.Name, p.self.Name) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// Before reports whether the host a takes a role that is named by key before b.
-func Before(key, a, b string) bool {
-	weightA, weightB := xxhash.Sum64String(a+"/"+key), xxhash.Sum64String(b+"/"+key)
-	return weightA > weightB || weightA == weightB && a < b
-}
-
-// order sorts hosts by their rendezvous hash with a key.
-func order(hosts []Host, key string) []Host {
-	type weighted struct {
-		host   Host
-		weight uint64
-	}
-	all := make([]weighted, 0, len(hosts))
-	for _, h := range hosts {
-		all = append(all, weighted{h, xxhash.Sum64String(h.Name + "/" + key)})
-	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		if a.weight != b.weight {
-			return cmp.Compare(b.weight, a.weight)
-		}
-		return cmp.Compare(a.host.Name, b.host.Name)
-	})
-	out := make([]Host, len(all))
-	for i, w := range all {
-		out[i] = w.host
-	}
-	return out
-}
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -93,6 +93,13 @@
 		defer p.mu.Unlock()
 		return p.limits.Stats(), p.limits.Shares(p.clock.Now())
 	}))
+	p.metrics.registerGauge("heatherhall_shedding", "Whether the daemon sheds its roles because its host is overloaded.", locked(func() float64 {
+		if p.shedder.Shedding() {
+			return 1
+		}
+		return 0
+	}))
+	p.metrics.registerGauge("heatherhall_timer_lag_seconds", "How late the daemon's timer fires on average.", locked(func() float64 { return float64(p.shedder.Lag()) / 1000 }))
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
