Add package balancer: which reads leave their failure domain

A read goes to the server with the shortest expected wait, so that a few milliseconds move all reads to another domain, and all daemons pick the same server. The new package keeps the fraction of reads that leaves, by rank, from answer times that the daemon measures itself and from reports of the neighbours' queues.

Nothing uses the package yet.

--- a/boundary_test.go
+++ b/boundary_test.go
@@ -9,7 +9,7 @@
 // decisionPackages are the packages that compute the daemon's decisions. They do
 // no I/O and read no clock.
 var decisionPackages = []string{
-	"acknowledger", "cataloger", "decider", "deduplicator", "dispatcher", "elector",
+	"acknowledger", "balancer", "cataloger", "decider", "deduplicator", "dispatcher", "elector",
 	"multiplexer", "placer", "planner", "pooler", "promoter", "router", "scheduler", "sequencer", "sessioner", "watcher",
 }
 
