Balance reads between failure domains

Each read went to the server with the shortest expected wait: in the harness a third of the reads left a calm domain whose own replica could have served them, and with an own replica that is 4 ms slower most did.

Where the catalog has accounts or the hosts differ, or the setting balance says so, reads now stay in the domain unless package balancer lets a fraction leave, and statements that miss their latency objective give way to others of their rank. A ping to a daemon of another domain asks for the wait in its queue; an older daemon answers without one.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -86,7 +86,11 @@
 // concurrent use.
 type Balancer struct {
 	servers map[string]*server
-	ranks   [scheduler.NumRanks]rank
+	// order holds the servers by name, so that decisions don't depend on the order
+	// of a map, and hasOwn says whether one of them is in this domain.
+	order  []*server
+	hasOwn bool
+	ranks  [scheduler.NumRanks]rank
 	// seed separates the choices of daemons with equal readings.
 	seed    uint64
 	updated timekeeper.Millis
@@ -128,6 +132,11 @@
 	return b
 }
 
+// Seed returns the number by which this daemon's choices differ from others'.
+func (b *Balancer) Seed() uint64 {
+	return b.seed
+}
+
 // Fraction returns the fraction of a rank's reads that leaves the domain.
 func (b *Balancer) Fraction(r scheduler.Rank) float64 {
 	return b.ranks[r].fraction
@@ -197,7 +206,7 @@
 func (b *Balancer) updateBase(now timekeeper.Millis, r scheduler.Rank) {
 	state := &b.ranks[r]
 	best := math.Inf(1)
-	for _, s := range b.servers {
+	for _, s := range b.order {
 		if s.fresh(now, r) {
 			best = min(best, s.times[r].mean)
 		}
@@ -237,7 +246,7 @@
 		state.fraction *= staleDecay
 	case !remote.fresh:
 		state.fraction *= staleDecay
-		if suspected {
+		if suspected && c.Own > remote.time+c.Margin {
 			b.probe(now, state)
 		}
 	case c.Own > remote.time+c.Margin:
@@ -265,7 +274,7 @@
 // updateSuits determines the remote servers that reads may leave for: those that
 // are fast enough to pay for the way, and those without a fresh reading.
 func (b *Balancer) updateSuits(now timekeeper.Millis, r scheduler.Rank, c *Change) {
-	for _, s := range b.servers {
+	for _, s := range b.order {
 		if !s.Own {
 			e := b.expected(now, s, r)
 			s.suits[r] = s.usable && (!e.fresh || e.time+c.Margin/2 < c.Own)
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -1,6 +1,10 @@
 package balancer
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
@@ -91,13 +95,15 @@
 			delete(b.servers, name)
 		}
 	}
+	b.order = slices.SortedFunc(maps.Values(b.servers), func(x, y *server) int { return cmp.Compare(x.Name, y.Name) })
 	ownSlots := 0
-	for _, s := range b.servers {
+	b.hasOwn = false
+	for _, s := range b.order {
 		if s.Own {
-			ownSlots = max(ownSlots, s.Slots)
+			b.hasOwn, ownSlots = true, max(ownSlots, s.Slots)
 		}
 	}
-	for _, s := range b.servers {
+	for _, s := range b.order {
 		if !s.Own && ownSlots > 0 {
 			s.Slots = min(s.Slots, maxSlotFactor*ownSlots)
 		}
@@ -106,12 +112,7 @@
 
 // HasOwn reports whether the domain has a server of the group.
 func (b *Balancer) HasOwn() bool {
-	for _, s := range b.servers {
-		if s.Own {
-			return true
-		}
-	}
-	return false
+	return b.hasOwn
 }
 
 // SetState records whether a server may get reads, and since when it owes an
@@ -223,11 +224,26 @@
 	return b.expected(now, s, r).time
 }
 
+// ShortestTime returns the shortest expected time of a statement of a rank at any
+// usable server in milliseconds.
+func (b *Balancer) ShortestTime(now timekeeper.Millis, r scheduler.Rank) float64 {
+	own, remote := b.best(now, r, true), b.best(now, r, false)
+	switch {
+	case own.found && remote.found:
+		return min(own.time, remote.time)
+	case own.found:
+		return own.time
+	case remote.found:
+		return remote.time
+	}
+	return b.cost(r)
+}
+
 // best returns the shortest expected time among the usable servers of this or of
 // other domains. Servers with a fresh reading go before others.
 func (b *Balancer) best(now timekeeper.Millis, r scheduler.Rank, own bool) estimate {
 	var best estimate
-	for _, s := range b.servers {
+	for _, s := range b.order {
 		if s.Own != own || !s.usable {
 			continue
 		}
@@ -271,6 +287,14 @@
 	return s != nil && s.suits[r]
 }
 
+// Spend charges a remote server's credit with the time of a statement for which
+// Started was not called, such as a later one of a transaction.
+func (b *Balancer) Spend(name string, took timekeeper.Millis) {
+	if s := b.servers[name]; s != nil && !s.Own {
+		s.credit -= float64(took)
+	}
+}
+
 // Turn orders the remote servers for the next read that leaves; the lowest is
 // next. Servers get reads in inverse proportion to their expected times.
 func (b *Balancer) Turn(name string) float64 {
@@ -295,7 +319,7 @@
 	s.turn += expected
 	// A server that was out of use must not get all reads until it has caught
 	// up with the others.
-	for _, other := range b.servers {
+	for _, other := range b.order {
 		if !other.Own {
 			other.turn = max(other.turn, s.turn-2*expected)
 		}
--- a/detourer/link.go
+++ b/detourer/link.go
@@ -37,11 +37,19 @@
 	Work uint64 `json:"work"`
 }
 
+// pingRequest asks for a sign of life, and for a load report if it names a group.
+// An older daemon answers without a report.
+type pingRequest struct {
+	Group string `json:"group,omitempty"`
+}
+
 // ForwardHandler holds the functions that serve forwarded work. A link is
 // identified by a number that is never used twice.
 type ForwardHandler struct {
 	// Run runs a statement and returns its answer.
 	Run func(ctx context.Context, link uint64, request multiplexer.ForwardRequest) (multiplexer.ForwardAnswer, error)
+	// Load reports how long the reads of a group wait here.
+	Load func(group string) multiplexer.LoadReport
 	// End ends work whose client has left.
 	End func(link, work uint64)
 	// LinkClosed ends all work of a link.
@@ -65,6 +73,14 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		c.Forward.End(c.id, end.Work)
+	case methodPing:
+		var ping pingRequest
+		if err := json.Unmarshal(*r.Params, &ping); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		if ping.Group != "" {
+			return c.Forward.Load(ping.Group), nil
+		}
 	}
 	return struct{}{}, nil
 }
@@ -137,16 +153,36 @@
 
 // Ping waits for a sign of life of the carrier at an address.
 func (l *Links) Ping(ctx context.Context, address string) error {
+	_, err := l.ping(ctx, address, pingRequest{})
+	return err
+}
+
+// AskLoad asks the daemon at an address how long the reads of a group wait there. An
+// invalid report ends the link.
+func (l *Links) AskLoad(ctx context.Context, address, group string) (multiplexer.LoadReport, error) {
+	report, err := l.ping(ctx, address, pingRequest{Group: group})
+	if err != nil {
+		return report, err
+	}
+	if err := report.Validate(); err != nil {
+		l.Renew(address)
+		return multiplexer.LoadReport{}, &Error{Op: methodPing, Kind: KindConnection, Text: err.Error()}
+	}
+	return report, nil
+}
+
+func (l *Links) ping(ctx context.Context, address string, request pingRequest) (multiplexer.LoadReport, error) {
+	var report multiplexer.LoadReport
 	conn, err := l.get(ctx, address)
 	if err != nil {
-		return err
+		return report, err
 	}
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if err := conn.rpc.Call(call, methodPing, struct{}{}, nil); err != nil {
-		return &Error{Op: methodPing, Kind: KindConnection, Text: err.Error()}
+	if err := conn.rpc.Call(call, methodPing, request, &report); err != nil {
+		return report, &Error{Op: methodPing, Kind: KindConnection, Text: err.Error()}
 	}
-	return nil
+	return report, nil
 }
 
 // Renew makes later requests to an address use a new link. Requests in progress
--- a/detourer/link_test.go
+++ b/detourer/link_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/heatherhall/heatherhall/multiplexer"
+	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
 // fakeCarrier serves forwarded statements. A statement with the text "wait" gets no answer
@@ -19,6 +20,29 @@
 	done                    chan struct{}
 }
 
+// loadReports are the reports of a fakeCarrier by group.
+var loadReports = map[string]multiplexer.LoadReport{
+	"busy": {Waits: []timekeeper.Millis{0, 70, 0}}, "invalid": {Waits: []timekeeper.Millis{0, -7, 0}},
+}
+
+// TestAskLoad guards against reports that get lost on the way, and against invalid
+// ones that are believed. A daemon that reports nothing, as an older one does, is no
+// error.
+func TestAskLoad(t *testing.T) {
+	c := startCarrier(t)
+	links := NewLinks(net.Dialer{})
+	defer links.Close()
+	if report, err := links.AskLoad(t.Context(), c.address, "busy"); err != nil || len(report.Waits) != 3 || report.Waits[1] != 70 {
+		t.Errorf("report %+v, %v; want a wait of 70 ms of the second rank", report, err)
+	}
+	if report, err := links.AskLoad(t.Context(), c.address, "unknown"); err != nil || len(report.Waits) != 0 {
+		t.Errorf("report %+v, %v of an unknown group, want an empty one", report, err)
+	}
+	if _, err := links.AskLoad(t.Context(), c.address, "invalid"); err == nil {
+		t.Error("an invalid report is accepted, want an error")
+	}
+}
+
 func startCarrier(t *testing.T) *fakeCarrier {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,6 +62,7 @@
 		},
 		End:        func(_, work uint64) { c.ended <- work },
 		LinkClosed: func(link uint64) { c.closed <- link },
+		Load:       func(group string) multiplexer.LoadReport { return loadReports[group] },
 	}}, c.done)
 	t.Cleanup(func() {
 		cancel()
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -191,6 +191,7 @@
 // term, it takes the answer's.
 func (g *group) recordAnswer(now timekeeper.Millis, j *job, s *server, a Answer) {
 	s.recordResult(now, a.Code == CodeFailed)
+	g.balance.answered(now, j, s, a.Code)
 	if a.Code == CodeOK {
 		s.recordLatency(now - j.sent)
 		rank := rankOf(j.database)
@@ -340,7 +341,7 @@
 		}
 		j.excluded[s.ID] = true
 	case CodeNotRun:
-		s.backoffUntil = now + fullBackoff
+		s.backoffUntil = now + s.refusalBackoff()
 	case CodeReadOnly:
 		g.log("server is not the primary", observer.F("server", s.ID), observer.F("term", g.lease.Term), observer.F("position", a.Position.String()))
 	}
@@ -380,6 +381,7 @@
 		return
 	}
 	sent := j.step == stepRun
+	g.balance.unanswered(now, j, s)
 	g.unassign(now, j)
 	switch {
 	case pinnedSession != nil && sent && j.hasSideEffects():
@@ -422,12 +424,14 @@
 		return
 	}
 	g.log("server is silent: "+reason, observer.F("server", s.ID), observer.F("heard", int64(now-s.lastResponse)))
+	s.suspect(now, g, "silent")
 	g.rejectUnservable(now)
 }
 
 // tick rejects queued jobs that waited too long, handles timeouts of running
 // ones and marks unresponsive servers.
 func (g *group) tick(now timekeeper.Millis) {
+	g.tickBalance(now)
 	for _, item := range g.queue.Expire(now) {
 		j := g.waiting[item.ID]
 		delete(g.waiting, item.ID)
@@ -459,6 +463,9 @@
 	g.log("answer overdue", observer.F("server", c.server.ID), observer.F("request", j.statement.ID), observer.F("sent", int64(now-c.sent)),
 		observer.F("heard", int64(now-c.server.lastResponse)))
 	begun := j.session.tx != nil && j.session.tx.begun
+	if late {
+		g.balance.unanswered(now, j, c.server)
+	}
 	j.session.detachConn(c)
 	g.unassign(now, j)
 	c.pinnedSession = nil
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -61,6 +61,8 @@
 	// candidateBuffer is the result of the last call of candidates, whose
 	// memory the next call reuses.
 	candidateBuffer []router.Candidate
+	// balance is nil unless reads are balanced between failure domains.
+	balance *groupBalance
 	// selected is the server that dispatchQueued has chosen for the next job.
 	selected *server
 }
@@ -253,6 +255,7 @@
 		return
 	}
 	g.waiting[j.id] = j
+	g.balance.arrived(j)
 }
 
 // reject completes a job that can't be served now. The answer is CodeNotRun
@@ -359,14 +362,16 @@
 		}
 		return s
 	}
+	requirement := router.ReadRequirement{Floor: floor, History: g.lease.History}
 	candidates := g.candidates(now, rankOf(j.database))
+	g.balance.restrict(now, j, candidates, requirement, known)
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Primary && (!known || j.excluded[c.Name]) || !g.servers[i].pool.CanTake(rankOf(j.database)) {
 			c.Usable = false
 		}
 	}
-	if i := router.SelectForRead(candidates, router.ReadRequirement{Floor: floor, History: g.lease.History}); i >= 0 {
+	if i := router.SelectForRead(candidates, requirement); i >= 0 {
 		return g.servers[i]
 	}
 	return nil
@@ -375,15 +380,19 @@
 // dispatchQueued starts queued jobs while servers are free, and opens
 // connections for the rest.
 func (g *group) dispatchQueued(now timekeeper.Millis) {
+	g.balance.beginDispatch()
 	for g.queue.Len() > 0 {
 		item, found := g.queue.Pop([2]bool{true, true}, func(item scheduler.Item) bool {
 			j := g.waiting[item.ID]
-			if j == nil {
+			if j == nil || g.balance.givesWay(j) {
 				return false
 			}
 			g.selected = g.selectServer(now, j)
 			return g.selected != nil
 		})
+		if !found && g.balance.endPrecedence() {
+			continue
+		}
 		if !found {
 			break
 		}
@@ -440,6 +449,7 @@
 		g.enqueue(now, j)
 		return
 	}
+	g.balance.started(now, j, s)
 	c := g.mux.conns[id]
 	if tx := j.session.tx; tx != nil {
 		tx.conn = c
--- a/multiplexer/harness_test.go
+++ b/multiplexer/harness_test.go
@@ -25,6 +25,8 @@
 	// pending are the callbacks for unanswered statements, by session.
 	pending        map[uint64]func(Answer)
 	sessionsClosed int
+	// asked is called for each question to another daemon.
+	asked func(AskLoad)
 }
 
 // fakeServer is a backend server with slots and a queue in order of arrival.
@@ -37,8 +39,12 @@
 	applied     int64
 	down        bool
 	dropAnswers bool
-	open        int
-	ran         int
+	// failing makes all reads fail, and flapping those in every second period of
+	// this length.
+	failing  bool
+	flapping timekeeper.Millis
+	open     int
+	ran      int
 }
 
 const testGroup = "g"
@@ -46,8 +52,12 @@
 // newHarness returns a harness with one group of three servers in three failure
 // domains. s0 is the primary; service is the mean time of a statement.
 func newHarness(t *testing.T, service timekeeper.Millis) *harness {
+	return newHarnessWith(t, service, DefaultSettings("a"))
+}
+
+func newHarnessWith(t *testing.T, service timekeeper.Millis, settings Settings) *harness {
 	h := &harness{
-		t: t, m: New(DefaultSettings("a"), Deps{}), TimerQueue: timekeeper.NewTimerQueue(1000), random: rand.New(rand.NewSource(1)),
+		t: t, m: New(settings, Deps{}), TimerQueue: timekeeper.NewTimerQueue(1000), random: rand.New(rand.NewSource(1)),
 		servers: map[string]*fakeServer{}, conns: map[pooler.Conn]*fakeServer{}, pending: map[uint64]func(Answer){},
 	}
 	var list []cataloger.Server
@@ -105,6 +115,10 @@
 				delete(h.pending, c.Session)
 				done(c.Answer)
 			}
+		case AskLoad:
+			if h.asked != nil {
+				h.asked(c)
+			}
 		case CloseSession:
 			h.sessionsClosed++
 		case Forward:
@@ -158,6 +172,9 @@
 		var answers []Answer
 		for _, st := range c.Statements {
 			a := Answer{Signature: s.id, Position: sequencer.Position{Term: 1, Offset: s.applied}}
+			if (s.failing || s.flapping > 0 && h.Now()/s.flapping%2 == 0) && st.Kind == KindRead {
+				a.Code = CodeFailed
+			}
 			if !st.Floor.IsZero() && st.Floor.Offset > s.applied {
 				a = Answer{Code: CodeLagging, Position: a.Position}
 			}
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -50,6 +50,8 @@
 	excluded map[string]bool
 	// sent is when the client's statement itself was sent.
 	sent timekeeper.Millis
+	// late says that the waiting job misses its latency objective anyway.
+	late bool
 	// mayHaveRun says that an earlier attempt ran or may have run.
 	mayHaveRun bool
 	// carrier is the daemon that the job was forwarded to, path what is known of
--- /dev/null
+++ b/multiplexer/load.go
@@ -0,0 +1,89 @@
+package multiplexer
+
+import (
+	"github.com/heatherhall/heatherhall/placer"
+	"github.com/heatherhall/heatherhall/scheduler"
+	"github.com/heatherhall/heatherhall/timekeeper"
+)
+
+// askInterval is the time between two questions to the neighbours while reads
+// leave the failure domain or might have to.
+const askInterval timekeeper.Millis = 500
+
+// AskLoad asks a daemon of another failure domain how long the reads of a group
+// wait there. The driver reports the answer with LoadReported.
+type AskLoad struct {
+	Host  placer.Host
+	Group string
+}
+
+func (AskLoad) command() {}
+
+// LoadReport says for how many milliseconds the reads of a group wait at a
+// daemon.
+type LoadReport struct {
+	// Waits are the waits by rank; empty if the daemon reports none.
+	Waits []timekeeper.Millis `json:"waits,omitempty"`
+}
+
+// Validate returns an Error of KindInvalid if the report can't be true.
+func (r LoadReport) Validate() error {
+	if len(r.Waits) != 0 && len(r.Waits) != scheduler.NumRanks {
+		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "waits: wrong number of ranks"}
+	}
+	for _, wait := range r.Waits {
+		if wait < 0 || wait > maxForwardedTime {
+			return &Error{Op: "decode load report", Kind: KindInvalid, Text: "waits: out of range"}
+		}
+	}
+	return nil
+}
+
+// LoadReport returns how long the reads of a group wait at this daemon. The report
+// is empty for an unknown group.
+func (m *Multiplexer) LoadReport(now timekeeper.Millis, group string) LoadReport {
+	g := m.groups[group]
+	if g == nil {
+		return LoadReport{}
+	}
+	report := LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks)}
+	for r, wait := range g.waits(now) {
+		report.Waits[r] = min(timekeeper.Millis(wait), maxForwardedTime)
+	}
+	return report
+}
+
+// LoadReported handles a valid report of a daemon of another failure domain that
+// was asked for at the given time.
+func (m *Multiplexer) LoadReported(asked timekeeper.Millis, question AskLoad, report LoadReport) {
+	g := m.groups[question.Group]
+	if g == nil || g.balance == nil || len(report.Waits) != scheduler.NumRanks {
+		return
+	}
+	var waits [scheduler.NumRanks]float64
+	for r, wait := range report.Waits {
+		waits[r] = float64(wait)
+	}
+	g.balance.SetReport(asked, question.Host.Domain, waits)
+}
+
+// askNeighbours asks one daemon of each other domain for a report if the balancer
+// wants reports: a carrier if the group has carriers, and each time another
+// daemon otherwise, so that the askers spread over them.
+func (b *groupBalance) askNeighbours(now timekeeper.Millis) {
+	if !b.ReportsWanted() || now-b.askedAt < askInterval {
+		return
+	}
+	b.askedAt = now
+	b.asked++
+	g := b.group
+	for _, domain := range g.remoteDomains() {
+		order := g.mux.placement.OrderIn(domain, g.name)
+		if g.carrierCount > 0 {
+			order = order[:min(g.carrierCount, len(order))]
+		}
+		if len(order) > 0 {
+			g.mux.emit(AskLoad{Host: order[(b.Seed()+b.asked)%uint64(len(order))], Group: g.name})
+		}
+	}
+}
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -109,6 +109,7 @@
 	// it reached failingErrorRate; 0 if it is lower.
 	errorRate    float64
 	failingSince timekeeper.Millis
+	trust
 }
 
 // oldestUnanswered returns when the oldest outstanding answer was requested,
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -6,6 +6,18 @@
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
+// Balance says whether package balancer decides which reads leave the failure
+// domain.
+type Balance int
+
+// Values of Balance.
+const (
+	// BalanceAuto balances if the catalog has accounts or the hosts differ.
+	BalanceAuto Balance = iota
+	BalanceOn
+	BalanceOff
+)
+
 // Settings configures a Multiplexer.
 type Settings struct {
 	// Domain is the daemon's failure domain. The network round trip to servers
@@ -29,6 +41,8 @@
 	// StalenessMargin is subtracted from the max age of reads, to allow for
 	// clock error and scheduling delays.
 	StalenessMargin timekeeper.Millis
+	// Balance switches the balancing of reads between failure domains.
+	Balance Balance
 }
 
 // DefaultSettings returns the default settings of a daemon in a failure domain.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,7 @@
 	local   []Host
 	domains int
 	partial bool
+	uneven  bool
 }
 
 // New returns the placement for the daemon self among the live hosts, which may
@@ -77,6 +78,17 @@
 	return p.partial
 }
 
+// WithUneven returns a copy that says whether the capacities of the hosts differ.
+func (p Placement) WithUneven(uneven bool) Placement {
+	p.uneven = uneven
+	return p
+}
+
+// Uneven reports whether the capacities of the hosts differ.
+func (p Placement) Uneven() bool {
+	return p.uneven
+}
+
 // Self returns the daemon whose view this is.
 func (p Placement) Self() Host {
 	return p.self
@@ -89,7 +101,7 @@
 
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
-	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts)
+	return p.self == other.self && p.partial == other.partial && p.uneven == other.uneven && slices.Equal(p.hosts, other.hosts)
 }
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
@@ -120,12 +132,48 @@
 // same hosts get the same order, and the loss of a host moves only the groups
 // that it carried.
 func (p Placement) Order(group string) []Host {
+	return rendezvousOrder(p.local, group)
+}
+
+// OrderIn returns the daemons of a failure domain in the order in which they are
+// to carry a group.
+func (p Placement) OrderIn(domain, group string) []Host {
+	var hosts []Host
+	for _, h := range p.hosts {
+		if h.Domain == domain {
+			hosts = append(hosts, h)
+		}
+	}
+	return rendezvousOrder(hosts, group)
+}
+
+// SharersOutside returns how many daemons outside a failure domain send work to
+// the servers of a group that has the given number of carriers in each.
+func (p Placement) SharersOutside(domain string, carriersPerDomain int) int {
+	byDomain := map[string]int{}
+	for _, h := range p.hosts {
+		byDomain[h.Domain]++
+	}
+	total := 0
+	for name, hosts := range byDomain {
+		switch {
+		case name == domain:
+		case carriersPerDomain == 0:
+			total += hosts
+		default:
+			total += min(hosts, carriersPerDomain)
+		}
+	}
+	return total
+}
+
+func rendezvousOrder(hosts []Host, group string) []Host {
 	type weighted struct {
 		host   Host
 		weight uint64
 	}
-	all := make([]weighted, 0, len(p.local))
-	for _, h := range p.local {
+	all := make([]weighted, 0, len(hosts))
+	for _, h := range hosts {
 		all = append(all, weighted{h, xxhash.Sum64String(h.Name + "/" + group)})
 	}
 	slices.SortFunc(all, func(a, b weighted) int {
--- a/proxier/forward_test.go
+++ b/proxier/forward_test.go
@@ -67,6 +67,13 @@
 		sim.deliverOver(l, l.to, func() {
 			sim.deliverOver(l, d, func() { d.logic.mux.CarrierResponded(sim.Now(), c.Carrier.Name) })
 		})
+	case multiplexer.AskLoad:
+		l := sim.linkTo(d, sim.daemon(c.Host.Name))
+		asked := sim.Now()
+		sim.deliverOver(l, l.to, func() {
+			report := l.to.logic.mux.LoadReport(sim.Now(), c.Group)
+			sim.deliverOver(l, d, func() { d.logic.mux.LoadReported(asked, c, report) })
+		})
 	case multiplexer.RenewLink:
 		l := sim.linkTo(d, sim.daemon(c.Carrier.Name))
 		l.retired = true
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -72,6 +72,7 @@
 	p.metrics.registerGauge("heatherhall_forwarded_work", "Statements and transactions of other daemons that this daemon runs.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwarded) }))
 	p.metrics.registerGauge("heatherhall_forwards_waiting", "Statements that carriers owe this daemon answers to.", locked(func() float64 { return float64(p.mux.CarrierLoad().Forwards) }))
 	p.metrics.registerGauge("heatherhall_carriers_unreachable", "Carriers that do not respond to this daemon.", locked(func() float64 { return float64(p.mux.CarrierLoad().Unreachable) }))
+	p.metrics.registry.MustRegister(leavingReads{p})
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -26,6 +26,8 @@
 	RegistrationGrace timekeeper.Millis
 	// ShutdownGrace is the maximum duration of a graceful shutdown.
 	ShutdownGrace timekeeper.Millis
+	// Balance switches the balancing of reads between failure domains.
+	Balance multiplexer.Balance
 	// Elector configures primary changes.
 	Elector elector.Settings
 	// Intervals configures the loops that call the store.
@@ -163,7 +165,7 @@
 				delete(p.workers, c.Conn)
 				w.cancel()
 			}
-		case multiplexer.Forward, multiplexer.EndForward, multiplexer.PingCarrier, multiplexer.RenewLink, multiplexer.ForwardReply:
+		case multiplexer.Forward, multiplexer.EndForward, multiplexer.PingCarrier, multiplexer.AskLoad, multiplexer.RenewLink, multiplexer.ForwardReply:
 			p.executeForward(command)
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -22,7 +22,10 @@
 	// RoundTripTime is the expected network round trip to the server in
 	// milliseconds.
 	RoundTripTime float64
-	Applied       sequencer.Position
+	// Expected replaces the expected wait that follows from ServiceTime,
+	// RoundTripTime and InFlight, in milliseconds, unless it is 0.
+	Expected float64
+	Applied  sequencer.Position
 	// Lag is how many milliseconds later than the primary the server applies
 	// log entries.
 	Lag float64
@@ -30,6 +33,9 @@
 
 // wait returns the expected time to an answer in milliseconds.
 func (c Candidate) wait() float64 {
+	if c.Expected > 0 {
+		return c.Expected
+	}
 	return c.RoundTripTime + c.ServiceTime*float64(c.InFlight+1)
 }
 
