--- a/balancer/server.go
+++ b/balancer/server.go
@@ -224,14 +224,13 @@
 	return b.expected(now, s, r).time
 }
 
-// ShortestTime returns the shortest expected time of a statement of a rank at any
-// usable server in milliseconds.
+// ShortestTime returns the expected time of a statement of a rank at the best
+// usable server of this domain, or at one of another domain if a fresh reading
+// says that it is faster, in milliseconds.
 func (b *Balancer) ShortestTime(now timekeeper.Millis, r scheduler.Rank) float64 {
 	own, remote := b.best(now, r, true), b.best(now, r, false)
 	switch {
-	case own.found && remote.found:
-		return min(own.time, remote.time)
-	case own.found:
+	case own.found && (!remote.fresh || own.time < remote.time):
 		return own.time
 	case remote.found:
 		return remote.time
--- a/multiplexer/balance.go
+++ b/multiplexer/balance.go
@@ -29,12 +29,10 @@
 	// arrived, by rank, under the catalog with the given version.
 	objectives     [scheduler.NumRanks]timekeeper.Millis
 	catalogVersion int64
-	// timely is how many waiting jobs can still meet their latency objective, by
-	// rank.
-	timely [scheduler.NumRanks]int
-	// precedence says that late jobs give way, and gaveWay that one has done so
-	// since the dispatching began.
-	precedence, gaveWay bool
+	// late are the jobs that give way to others, the oldest first, and yielded
+	// counts the jobs that have started in a row while one of them waited.
+	late    []*job
+	yielded int
 	// askedAt is when the neighbours were last asked for reports, and asked how
 	// often.
 	askedAt timekeeper.Millis
@@ -56,6 +54,7 @@
 // changes.
 func (g *group) tickBalance(now timekeeper.Millis) {
 	if on := g.mux.balances(); on != (g.balance != nil) {
+		g.balance.returnLate(now)
 		g.balance = nil
 		for _, s := range g.servers {
 			s.trust = trust{}
@@ -108,8 +107,8 @@
 	b.SetServers(list)
 }
 
-// updateWaiting updates the servers' states, determines which waiting jobs can
-// still meet their latency objective, and returns the demand by rank.
+// updateWaiting updates the servers' states and the late jobs, and returns the
+// demand by rank.
 func (b *groupBalance) updateWaiting(now timekeeper.Millis) [scheduler.NumRanks]balancer.Demand {
 	g := b.group
 	for _, s := range g.servers {
@@ -121,34 +120,20 @@
 	}
 	var demand [scheduler.NumRanks]balancer.Demand
 	waits := g.waits(now)
-	b.timely = [scheduler.NumRanks]int{}
 	for r := range scheduler.Rank(scheduler.NumRanks) {
 		demand[r] = balancer.Demand{Wait: waits[r], Objective: b.objectives[r]}
 	}
-	if len(g.waiting) == 0 {
-		return demand
-	}
-	var shortest [scheduler.NumRanks]timekeeper.Millis
-	for r := range shortest {
-		shortest[r] = timekeeper.Millis(b.ShortestTime(now, scheduler.Rank(r)))
-	}
-	for _, j := range g.waiting {
-		r := rankOf(j.database)
-		objective := j.database.LatencyObjective
-		j.late = objective > 0 && now-j.arrived+shortest[r] > objective
-		if !j.late {
-			b.timely[r]++
-		}
-	}
+	b.updateLate(now)
 	return demand
 }
 
 // waits returns the mean time for which reads that need no primary have waited,
-// by rank, in milliseconds.
+// by rank, in milliseconds. Late jobs don't count: they wait for a free server
+// however short the queue is.
 func (g *group) waits(now timekeeper.Millis) [scheduler.NumRanks]float64 {
 	var sums, counts [scheduler.NumRanks]float64
 	for _, j := range g.waiting {
-		if j.lane == scheduler.LaneAny {
+		if j.lane == scheduler.LaneAny && !j.late {
 			r := rankOf(j.database)
 			sums[r] += float64(now - j.arrived)
 			counts[r]++
@@ -162,7 +147,11 @@
 
 // arrived accounts for a job that is queued for the first time.
 func (b *groupBalance) arrived(j *job) {
-	if b == nil || j.attempts > 0 {
+	if b == nil {
+		return
+	}
+	j.late = false
+	if j.attempts > 0 {
 		return
 	}
 	r := rankOf(j.database)
@@ -176,7 +165,11 @@
 
 // started accounts for a job that starts on a server.
 func (b *groupBalance) started(now timekeeper.Millis, j *job, s *server) {
-	if b != nil && j.lane == scheduler.LaneAny {
+	if b == nil {
+		return
+	}
+	b.countYield(j)
+	if j.lane == scheduler.LaneAny {
 		b.Started(now, s.ID, rankOf(j.database))
 	}
 }
@@ -192,7 +185,7 @@
 	if j.writes || j.statement.Kind == KindCommit {
 		return
 	}
-	took, r, queued := now-j.sent, rankOf(j.database), j.item.ID != ""
+	took, r, queued := now-j.sent, rankOf(j.database), j.item.ID != "" || j.late
 	switch {
 	case code == CodeOK:
 		b.RecordAnswer(now, s.ID, r, took, queued && j.lane == scheduler.LaneAny)
@@ -216,32 +209,6 @@
 	b.answered(now, j, s, CodeTimeout)
 }
 
-// beginDispatch gives jobs that can meet their latency objective precedence.
-func (b *groupBalance) beginDispatch() {
-	if b != nil {
-		b.precedence, b.gaveWay = true, false
-	}
-}
-
-// givesWay reports whether a job must not start yet: it misses its latency
-// objective anyway, and another job of its rank does not.
-func (b *groupBalance) givesWay(j *job) bool {
-	if b == nil || !b.precedence || !j.late || b.timely[rankOf(j.database)] == 0 {
-		return false
-	}
-	b.gaveWay = true
-	return true
-}
-
-// endPrecedence lets late jobs start too. It reports whether one gave way.
-func (b *groupBalance) endPrecedence() bool {
-	if b == nil || !b.precedence || !b.gaveWay {
-		return false
-	}
-	b.precedence = false
-	return true
-}
-
 // restrict makes those candidates unusable that a read must not go to: servers of
 // other failure domains, unless the read should leave, and servers that only get
 // single reads to show whether they work.
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -182,7 +182,7 @@
 // rejectUnservable rejects queued jobs that need the primary and can't be
 // served in time.
 func (g *group) rejectUnservable(now timekeeper.Millis) {
-	if g.queue.LenByLane(scheduler.LanePrimary) == 0 {
+	if g.queue.LenByLane(scheduler.LanePrimary) == 0 && g.balance.lateCount() == 0 {
 		return
 	}
 	for _, j := range sortedJobs(g.waiting) {
@@ -380,19 +380,18 @@
 // dispatchQueued starts queued jobs while servers are free, and opens
 // connections for the rest.
 func (g *group) dispatchQueued(now timekeeper.Millis) {
-	g.balance.beginDispatch()
 	for g.queue.Len() > 0 {
+		if g.balance.startLate(now, maxYielded) {
+			continue
+		}
 		item, found := g.queue.Pop([2]bool{true, true}, func(item scheduler.Item) bool {
 			j := g.waiting[item.ID]
-			if j == nil || g.balance.givesWay(j) {
+			if j == nil {
 				return false
 			}
 			g.selected = g.selectServer(now, j)
 			return g.selected != nil
 		})
-		if !found && g.balance.endPrecedence() {
-			continue
-		}
 		if !found {
 			break
 		}
@@ -400,6 +399,8 @@
 		delete(g.waiting, item.ID)
 		g.start(now, j, g.selected)
 	}
+	for g.balance.startLate(now, 0) {
+	}
 	g.adjustConns(now)
 }
 
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -50,7 +50,8 @@
 	excluded map[string]bool
 	// sent is when the client's statement itself was sent.
 	sent timekeeper.Millis
-	// late says that the waiting job misses its latency objective anyway.
+	// late says that the job misses its latency objective anyway. It has left the
+	// queue and gives way to the queued jobs.
 	late bool
 	// mayHaveRun says that an earlier attempt ran or may have run.
 	mayHaveRun bool
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -393,7 +393,7 @@
 func (m *Multiplexer) InFlight() int {
 	total := len(m.forwards)
 	for _, g := range m.groups {
-		total += g.queue.Len() + len(g.running)
+		total += g.queue.Len() + g.balance.lateCount() + len(g.running)
 	}
 	return total
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -273,6 +273,12 @@
 	return len(q.remove(func(item Item) bool { return item.ID == id })) > 0
 }
 
+// RemoveMatching removes and returns the waiting items for which match returns
+// true, sorted by deadline and id.
+func (q *Queue) RemoveMatching(match func(Item) bool) []Item {
+	return q.remove(match)
+}
+
 // RemoveAll removes and returns all waiting items, sorted by deadline and id.
 func (q *Queue) RemoveAll() []Item {
 	return q.remove(func(Item) bool { return true })
