Use a neighbour's primary and idle parts for relief

A daemon may take 1.5 times its part of a server while the neighbour reports no waiting reads and not all domains ask.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -31,9 +31,11 @@
 	// slowDecay, staleDecay and fastDecay are what remains of a fraction after an
 	// update in which it pays little, no fresh reading supports it, or it does
 	// not pay.
-	slowDecay, staleDecay, fastDecay = 0.95, 0.9, 0.8
+	slowDecay, staleDecay, fastDecay = 0.92, 0.9, 0.7
+	// countDecay is what remains of the counts of started reads after an update.
+	countDecay = 0.8
 	// minFraction is the smallest fraction that is kept.
-	minFraction = 0.005
+	minFraction = 0.01
 	// reportedFraction is the fraction from which a start is reported, and
 	// reportedChange the change that is reported.
 	reportedFraction, reportedChange = 0.02, 0.1
@@ -94,16 +96,25 @@
 	// seed separates the choices of daemons with equal readings.
 	seed    uint64
 	updated timekeeper.Millis
-	// reports are the waits in the queues of other domains, by domain.
+	// reports are the last ones of other domains, by domain.
 	reports map[string]report
 	// wanted says that the next decision depends on reports.
 	wanted bool
 }
 
-// report is what a daemon of another domain says about its queue.
+// Report is what a daemon of another domain says about its queue.
+type Report struct {
+	// Waits are the expected waits in milliseconds, by rank.
+	Waits [scheduler.NumRanks]float64
+	// Askers is how many failure domains have asked for reports lately; 0 if
+	// unknown.
+	Askers int
+}
+
+// report is a Report and the time for which it holds.
 type report struct {
-	waits [scheduler.NumRanks]float64
-	at    timekeeper.Millis
+	Report
+	at timekeeper.Millis
 }
 
 // rank holds the decision for one rank of work.
@@ -151,11 +162,10 @@
 	return left / started
 }
 
-// SetReport records the expected waits in milliseconds, by rank, in the queue of
-// a daemon of another domain. Reads that go there count as if they waited in
+// SetReport records the report of a daemon of another domain at a time. Reads that go there count as if they waited in
 // that queue, so that they don't pass its own clients.
-func (b *Balancer) SetReport(now timekeeper.Millis, domain string, waits [scheduler.NumRanks]float64) {
-	b.reports[domain] = report{waits: waits, at: now}
+func (b *Balancer) SetReport(now timekeeper.Millis, domain string, r Report) {
+	b.reports[domain] = report{Report: r, at: now}
 }
 
 // ReportsWanted reports whether the decision depends on reports of the
@@ -189,7 +199,7 @@
 		c := Change{Rank: r, Demand: demand[r]}
 		b.updateFraction(now, r, &c)
 		state := &b.ranks[r]
-		state.left, state.started = state.left*fastDecay, state.started*fastDecay
+		state.left, state.started = state.left*countDecay, state.started*countDecay
 		c.Before, c.Fraction = state.reported, state.fraction
 		started := state.reported == 0 && state.fraction >= reportedFraction
 		ended := state.reported > 0 && state.fraction == 0
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -24,11 +24,18 @@
 	// domains may take in any remoteWindow; the rest is certain for its own.
 	remotePart                     = 0.6
 	remoteWindow timekeeper.Millis = 5000
+	// maxLoan is how many times its part a daemon may take of a server whose domain
+	// reports that its own work does not wait and that few domains ask, and
+	// idleWait the longest wait in milliseconds that counts as none.
+	maxLoan, idleWait = 1.5, 2.0
 	// maxSlotFactor bounds the slots that a remote server is credited with, as a
 	// multiple of the slots of the domain's own servers.
 	maxSlotFactor = 2
 	// creditLimit is how many milliseconds of unused allowance are kept.
 	creditLimit = 100.0
+	// primaryFactor is how many times longer a remote primary counts as taking, so
+	// that reads leave for replicas first.
+	primaryFactor = 1.5
 	// failurePenalty is how many times the unloaded time a failed or refused
 	// statement counts as.
 	failurePenalty = 4.0
@@ -42,10 +49,15 @@
 	Name   string
 	Domain string
 	// Own says that the server is in this daemon's failure domain.
-	Own   bool
-	Slots int
+	Own bool
+	// Primary says that the server is the group's primary, whose time is worth
+	// more than that of others.
+	Primary bool
+	Slots   int
 	// Sharers is how many daemons outside the server's domain may send it reads.
 	Sharers int
+	// Peers is how many of these are in this daemon's domain.
+	Peers int
 }
 
 // reading is a smoothed answer time.
@@ -208,8 +220,11 @@
 	if s.oldest > 0 {
 		e.time = max(e.time, float64(now-s.oldest))
 	}
+	if s.Primary && !s.Own {
+		e.time *= primaryFactor
+	}
 	if report, found := b.reports[s.Domain]; found && !s.Own && now-report.at <= reportAge {
-		e.time, e.reported = e.time+report.waits[r], true
+		e.time, e.reported = e.time+report.Waits[r], true
 	}
 	return e
 }
@@ -256,10 +271,15 @@
 
 // allowance returns how many milliseconds of slot time per millisecond this
 // daemon may use at a remote server. All daemons outside the server's domain
-// have the same part. The cost of one statement in each window is subtracted,
+// have the same part, and up to maxLoan times that while the server's domain says
+// that it has room and that not all domains ask. The cost of one statement in each window is subtracted,
 // since a statement may start while any credit is left.
-func (b *Balancer) allowance(s *server) float64 {
+func (b *Balancer) allowance(now timekeeper.Millis, s *server) float64 {
 	part := remotePart * float64(max(s.Slots, 1)) / float64(max(s.Sharers, 1))
+	if report, found := b.reports[s.Domain]; found && now-report.at <= reportAge && report.Askers > 0 && slices.Max(report.Waits[:]) <= idleWait {
+		asking := report.Askers * max(s.Peers, 1)
+		part *= min(max(float64(s.Sharers)/float64(asking), 1), maxLoan)
+	}
 	largest := 0.0
 	for r := range scheduler.Rank(scheduler.NumRanks) {
 		largest = max(largest, b.cost(r))
@@ -274,7 +294,7 @@
 	if s == nil || s.Own {
 		return true
 	}
-	rate := b.allowance(s)
+	rate := b.allowance(now, s)
 	s.credit = min(s.credit+rate*float64(now-s.creditAt), rate*creditLimit)
 	s.creditAt = now
 	return s.credit >= 0
--- a/detourer/link.go
+++ b/detourer/link.go
@@ -41,6 +41,8 @@
 // An older daemon answers without a report.
 type pingRequest struct {
 	Group string `json:"group,omitempty"`
+	// Domain is the asking daemon's failure domain.
+	Domain string `json:"domain,omitempty"`
 }
 
 // ForwardHandler holds the functions that serve forwarded work. A link is
@@ -48,8 +50,9 @@
 type ForwardHandler struct {
 	// Run runs a statement and returns its answer.
 	Run func(ctx context.Context, link uint64, request multiplexer.ForwardRequest) (multiplexer.ForwardAnswer, error)
-	// Load reports how long the reads of a group wait here.
-	Load func(group string) multiplexer.LoadReport
+	// Load reports to a daemon of a failure domain how long the reads of a group wait
+	// here.
+	Load func(group, domain string) multiplexer.LoadReport
 	// End ends work whose client has left.
 	End func(link, work uint64)
 	// LinkClosed ends all work of a link.
@@ -79,7 +82,7 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		if ping.Group != "" {
-			return c.Forward.Load(ping.Group), nil
+			return c.Forward.Load(ping.Group, ping.Domain), nil
 		}
 	}
 	return struct{}{}, nil
@@ -157,10 +160,10 @@
 	return err
 }
 
-// AskLoad asks the daemon at an address how long the reads of a group wait there. An
-// invalid report ends the link.
-func (l *Links) AskLoad(ctx context.Context, address, group string) (multiplexer.LoadReport, error) {
-	report, err := l.ping(ctx, address, pingRequest{Group: group})
+// AskLoad asks the daemon at an address, for a daemon of a failure domain, how long
+// the reads of a group wait there. An invalid report ends the link.
+func (l *Links) AskLoad(ctx context.Context, address, group, domain string) (multiplexer.LoadReport, error) {
+	report, err := l.ping(ctx, address, pingRequest{Group: group, Domain: domain})
 	if err != nil {
 		return report, err
 	}
--- a/multiplexer/balance.go
+++ b/multiplexer/balance.go
@@ -29,6 +29,9 @@
 	// arrived, by rank, under the catalog with the given version.
 	objectives     [scheduler.NumRanks]timekeeper.Millis
 	catalogVersion int64
+	// ownSharers is how many daemons of this domain send work to the group's
+	// servers; 0 if unknown.
+	ownSharers int
 	// late are the jobs that give way to others, the oldest first, and yielded
 	// counts the jobs that have started in a row while one of them waited.
 	late    []*job
@@ -87,6 +90,16 @@
 	b.askNeighbours(now)
 }
 
+// sharers returns by how many daemons the statements that may run at once on a
+// server are divided. Daemons of other domains are bounded by their credit at a
+// replica, so that its own domain's divide all of it.
+func (b *groupBalance) sharers(g *group, s *server) int {
+	if b != nil && b.ownSharers > 0 && s.Domain == g.mux.settings.Domain && !g.isPrimary(s) {
+		return b.ownSharers
+	}
+	return max(g.sharers, 1)
+}
+
 // refresh passes the group's servers to the balancer.
 func (b *groupBalance) refresh(now timekeeper.Millis) {
 	g := b.group
@@ -96,12 +109,13 @@
 	if g.mux.placement.Partial() && b.HasOwn() {
 		return // the parts of the servers stay, since the other daemons use them too
 	}
+	b.ownSharers = g.sharers - g.mux.placement.SharersOutside(g.mux.settings.Domain, g.carrierCount)
 	list := make([]balancer.Server, 0, len(g.servers))
 	for _, s := range g.servers {
 		s.noticeWarmup(now)
 		list = append(list, balancer.Server{
 			Name: s.ID, Domain: s.Domain, Own: s.Domain == g.mux.settings.Domain, Slots: s.Slots,
-			Sharers: g.mux.placement.SharersOutside(s.Domain, g.carrierCount),
+			Primary: g.isPrimary(s), Sharers: g.mux.placement.SharersOutside(s.Domain, g.carrierCount), Peers: b.ownSharers,
 		})
 	}
 	b.SetServers(list)
@@ -114,7 +128,7 @@
 	for _, s := range g.servers {
 		usable := s.usable(now, g.mux.settings.LeavingGrace) && s.leavingSince == 0 && !s.restricted(now)
 		if g.isPrimary(s) {
-			usable = usable && s.Domain == g.mux.settings.Domain && s == g.usablePrimary(now)
+			usable = usable && s == g.usablePrimary(now)
 		}
 		b.SetState(s.ID, usable, s.oldestUnanswered())
 	}
@@ -222,7 +236,10 @@
 	for i := range candidates {
 		c, s := &candidates[i], g.servers[i]
 		c.Expected = b.ExpectedTime(now, s.ID, rank) * (1 + float64(s.running)/float64(max(s.Slots, 1)))
-		if !c.Primary {
+		if c.Primary {
+			// A quarter of this daemon's limit is left for work that needs the primary.
+			c.Available -= s.limit(g, rank) / 4
+		} else {
 			c.Available = min(c.Available, s.trialLimit(now, j)-s.running)
 			c.Usable = c.Usable && known && !j.excluded[c.Name]
 		}
@@ -236,9 +253,8 @@
 				probe = i
 			}
 		case s.Domain == g.mux.settings.Domain:
-			// The primary keeps a quarter of this daemon's limit for work that needs it.
-			home = home || !c.Primary || c.Available > s.limit(g, rank)/4
-		case ready && !c.Primary && mayLeave && b.Suits(s.ID, rank) && b.Admits(now, s.ID):
+			home = true
+		case ready && mayLeave && b.Suits(s.ID, rank) && b.Admits(now, s.ID):
 			if remote < 0 || b.Turn(s.ID) < b.Turn(g.servers[remote].ID) {
 				remote = i
 			}
--- a/multiplexer/load.go
+++ b/multiplexer/load.go
@@ -1,6 +1,9 @@
 package multiplexer
 
 import (
+	"maps"
+
+	"github.com/heatherhall/heatherhall/balancer"
 	"github.com/heatherhall/heatherhall/placer"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -10,11 +13,21 @@
 // leave the failure domain or might have to.
 const askInterval timekeeper.Millis = 500
 
+const (
+	// askerMemory is how long a domain that has asked counts as asking. With many
+	// daemons, each of them is asked only now and then.
+	askerMemory timekeeper.Millis = 3000
+	// maxAskers bounds the number of domains that are remembered.
+	maxAskers = 64
+)
+
 // AskLoad asks a daemon of another failure domain how long the reads of a group
 // wait there. The driver reports the answer with LoadReported.
 type AskLoad struct {
 	Host  placer.Host
 	Group string
+	// Domain is the asking daemon's failure domain.
+	Domain string
 }
 
 func (AskLoad) command() {}
@@ -24,6 +37,8 @@
 type LoadReport struct {
 	// Waits are the waits by rank; empty if the daemon reports none.
 	Waits []timekeeper.Millis `json:"waits,omitempty"`
+	// Askers is how many failure domains have asked for a report lately.
+	Askers int `json:"askers,omitempty"`
 }
 
 // Validate returns an Error of KindInvalid if the report can't be true.
@@ -31,6 +46,9 @@
 	if len(r.Waits) != 0 && len(r.Waits) != scheduler.NumRanks {
 		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "waits: wrong number of ranks"}
 	}
+	if r.Askers < 0 || r.Askers > maxAskers {
+		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "askers: out of range"}
+	}
 	for _, wait := range r.Waits {
 		if wait < 0 || wait > maxForwardedTime {
 			return &Error{Op: "decode load report", Kind: KindInvalid, Text: "waits: out of range"}
@@ -39,14 +57,21 @@
 	return nil
 }
 
-// LoadReport returns how long the reads of a group wait at this daemon. The report
-// is empty for an unknown group.
-func (m *Multiplexer) LoadReport(now timekeeper.Millis, group string) LoadReport {
+// LoadReport returns how long the reads of a group wait at this daemon, for a
+// daemon of a failure domain that asks. The report is empty for an unknown group.
+func (m *Multiplexer) LoadReport(now timekeeper.Millis, group, domain string) LoadReport {
 	g := m.groups[group]
 	if g == nil {
 		return LoadReport{}
 	}
-	report := LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks)}
+	if g.askers == nil {
+		g.askers = map[string]timekeeper.Millis{}
+	}
+	if len(g.askers) < maxAskers {
+		g.askers[domain] = now
+	}
+	maps.DeleteFunc(g.askers, func(_ string, at timekeeper.Millis) bool { return now-at > askerMemory })
+	report := LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks), Askers: len(g.askers)}
 	for r, wait := range g.waits(now) {
 		report.Waits[r] = min(timekeeper.Millis(wait), maxForwardedTime)
 	}
@@ -60,11 +85,11 @@
 	if g == nil || g.balance == nil || len(report.Waits) != scheduler.NumRanks {
 		return
 	}
-	var waits [scheduler.NumRanks]float64
+	out := balancer.Report{Askers: report.Askers}
 	for r, wait := range report.Waits {
-		waits[r] = float64(wait)
+		out.Waits[r] = float64(wait)
 	}
-	g.balance.SetReport(asked, question.Host.Domain, waits)
+	g.balance.SetReport(asked, question.Host.Domain, out)
 }
 
 // askNeighbours asks one daemon of each other domain for a report if the balancer
@@ -83,7 +108,7 @@
 			order = order[:min(g.carrierCount, len(order))]
 		}
 		if len(order) > 0 {
-			g.mux.emit(AskLoad{Host: order[(b.Seed()+b.asked)%uint64(len(order))], Group: g.name})
+			g.mux.emit(AskLoad{Host: order[(b.Seed()+b.asked)%uint64(len(order))], Group: g.name, Domain: g.mux.settings.Domain})
 		}
 	}
 }
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -142,7 +142,7 @@
 func (s *server) limit(g *group, rank scheduler.Rank) int {
 	limit := g.mux.share(g)
 	if rank > scheduler.RankUrgent {
-		sharers := max(g.sharers, 1)
+		sharers := g.balance.sharers(g, s)
 		limit = min(limit, max(1, (queueFactor*max(s.Slots, 1)+sharers-1)/sharers))
 	}
 	return limit
--- a/proxier/forward.go
+++ b/proxier/forward.go
@@ -33,7 +33,7 @@
 	case multiplexer.AskLoad:
 		asked := p.clock.Now()
 		p.spawn(func(ctx context.Context) {
-			if report, err := p.links.AskLoad(ctx, c.Host.Address, c.Group); err == nil {
+			if report, err := p.links.AskLoad(ctx, c.Host.Address, c.Group, c.Domain); err == nil {
 				p.mu.Lock()
 				p.mux.LoadReported(asked, c, report)
 				p.mu.Unlock()
@@ -89,10 +89,10 @@
 func (p *Proxy) forwardHandler() detourer.ForwardHandler {
 	return detourer.ForwardHandler{
 		Run: p.runForwarded,
-		Load: func(group string) multiplexer.LoadReport {
+		Load: func(group, domain string) multiplexer.LoadReport {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return p.mux.LoadReport(p.clock.Now(), group)
+			return p.mux.LoadReport(p.clock.Now(), group, domain)
 		},
 		End: func(link, work uint64) {
 			p.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.EndForwarded(now, link, work) })
