Keep the parts of servers while the hosts of other domains are unknown

A change of primary or a new server reached the balancer only once the list of hosts was whole again. The number of hosts by domain is kept with the placement, so that it is not counted for each server and group.

--- a/multiplexer/balance.go
+++ b/multiplexer/balance.go
@@ -32,6 +32,8 @@
 	// ownSharers is how many daemons of this domain send work to the group's
 	// servers; 0 if unknown.
 	ownSharers int
+	// outside is how many daemons outside a server's domain do so, by server.
+	outside map[string]int
 	// late are the jobs that give way to others, the oldest first, and yielded
 	// counts the jobs that have started in a row while one of them waited.
 	late    []*job
@@ -106,16 +108,22 @@
 	if b.catalogVersion != g.mux.catalog.Version {
 		b.catalogVersion, b.objectives = g.mux.catalog.Version, [scheduler.NumRanks]timekeeper.Millis{}
 	}
-	if g.mux.placement.Partial() && b.HasOwn() {
-		return // the parts of the servers stay, since the other daemons use them too
+	placement := g.mux.placement
+	if !placement.Partial() {
+		// Otherwise the parts of the servers stay, since the other daemons use them
+		// too.
+		b.ownSharers = g.sharers - placement.SharersOutside(g.mux.settings.Domain, g.carrierCount)
+		b.outside = map[string]int{}
+		for _, s := range g.servers {
+			b.outside[s.ID] = placement.SharersOutside(s.Domain, g.carrierCount)
+		}
 	}
-	b.ownSharers = g.sharers - g.mux.placement.SharersOutside(g.mux.settings.Domain, g.carrierCount)
 	list := make([]balancer.Server, 0, len(g.servers))
 	for _, s := range g.servers {
 		s.noticeWarmup(now)
 		list = append(list, balancer.Server{
 			Name: s.ID, Domain: s.Domain, Own: s.Domain == g.mux.settings.Domain, Slots: s.Slots,
-			Primary: g.isPrimary(s), Sharers: g.mux.placement.SharersOutside(s.Domain, g.carrierCount), Peers: b.ownSharers,
+			Primary: g.isPrimary(s), Sharers: cmp.Or(b.outside[s.ID], g.sharers), Peers: b.ownSharers,
 		})
 	}
 	b.SetServers(list)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -38,7 +38,8 @@
 	self    Host
 	hosts   []Host
 	local   []Host
-	domains int
+	// domains is the number of live hosts by failure domain.
+	domains map[string]int
 	partial bool
 	uneven  bool
 }
@@ -46,11 +47,10 @@
 // New returns the placement for the daemon self among the live hosts, which may
 // or may not include it.
 func New(self Host, hosts []Host) Placement {
-	p := Placement{self: self}
-	domains := map[string]bool{self.Domain: true}
+	p := Placement{self: self, domains: map[string]int{}}
 	add := func(h Host) {
 		p.hosts = append(p.hosts, h)
-		domains[h.Domain] = true
+		p.domains[h.Domain]++
 		if h.Domain == self.Domain {
 			p.local = append(p.local, h)
 		}
@@ -62,7 +62,6 @@
 		}
 	}
 	slices.SortFunc(p.hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	p.domains = len(domains)
 	return p
 }
 
@@ -115,7 +114,7 @@
 	if limit >= needed*p.HostCount() {
 		return 0
 	}
-	return max(1, limit/(max(p.domains, 1)*connsPerCarrier))
+	return max(1, limit/(max(len(p.domains), 1)*connsPerCarrier))
 }
 
 // Sharers returns how many daemons share the connections to the servers of a
@@ -124,7 +123,7 @@
 	if carriersPerDomain == 0 {
 		return p.HostCount()
 	}
-	return min(p.HostCount(), carriersPerDomain*max(p.domains, 1))
+	return min(p.HostCount(), carriersPerDomain*max(len(p.domains), 1))
 }
 
 // Order returns the daemons of this daemon's failure domain in the order in
@@ -150,12 +149,8 @@
 // SharersOutside returns how many daemons outside a failure domain send work to
 // the servers of a group that has the given number of carriers in each.
 func (p Placement) SharersOutside(domain string, carriersPerDomain int) int {
-	byDomain := map[string]int{}
-	for _, h := range p.hosts {
-		byDomain[h.Domain]++
-	}
 	total := 0
-	for name, hosts := range byDomain {
+	for name, hosts := range p.domains {
 		switch {
 		case name == domain:
 		case carriersPerDomain == 0:
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -94,3 +94,30 @@
 		t.Errorf("%d daemons carry 100 placements, want 35 or more of 78", len(carried))
 	}
 }
+
+// TestSharersOutside guards against daemons that are counted among those outside
+// their own domain, and against more carriers than a domain has hosts.
+func TestSharersOutside(t *testing.T) {
+	var hosts []placer.Host
+	for i, domain := range []string{"a", "a", "a", "b", "b", "c"} {
+		hosts = append(hosts, placer.Host{Name: fmt.Sprint(i), Domain: domain})
+	}
+	p := placer.New(hosts[0], hosts)
+	for name, test := range map[string]struct {
+		domain         string
+		carriers, want int
+	}{
+		"all connect":                {"a", 0, 3},
+		"all connect, small domain":  {"c", 0, 5},
+		"two carriers":               {"a", 2, 3},
+		"two carriers, small domain": {"c", 2, 4},
+		"a domain without hosts":     {"x", 0, 6},
+	} {
+		if got := p.SharersOutside(test.domain, test.carriers); got != test.want {
+			t.Errorf("%s: %d daemons, want %d", name, got, test.want)
+		}
+	}
+	if order := p.OrderIn("a", "g"); len(order) != 3 || !slices.Equal(order, p.Order("g")) {
+		t.Errorf("the order in the own domain is %v, want %v", order, p.Order("g"))
+	}
+}
