--- a/multiplexer/dispatch.go
+++ b/multiplexer/dispatch.go
@@ -10,6 +10,9 @@
 func (g *group) dispatchQueued(now timekeeper.Millis) {
 	g.openRequested(now, true)
 	for g.queue.Len() > 0 {
+		if g.balance.startLate(now, maxYielded) {
+			continue
+		}
 		item, found := g.queue.Pop([2]bool{true, true}, func(item scheduler.Item) bool {
 			j := g.waiting[item.ID]
 			if j == nil {
@@ -28,6 +31,8 @@
 		g.removeWaiting(j)
 		g.start(now, j, g.selected)
 	}
+	for g.balance.startLate(now, 0) {
+	}
 	g.adjustConns(now)
 }
 
@@ -78,6 +83,7 @@
 		g.enqueue(now, j)
 		return
 	}
+	g.balance.started(now, j, s)
 	c := g.mux.conns[id]
 	if c.account != "" && c.used {
 		g.mux.accountConnCounts.Reused++
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -62,6 +62,10 @@
 	// candidateBuffer is the result of the last call of candidates, whose
 	// memory the next call reuses.
 	candidateBuffer []router.Candidate
+	// balance is nil unless reads are balanced between failure domains.
+	balance *groupBalance
+	// askers are the failure domains that have asked for load reports, and when.
+	askers map[string]timekeeper.Millis
 	// selected is the server that dispatchQueued has chosen for the next job.
 	selected *server
 }
@@ -182,7 +186,7 @@
 // rejectUnservable rejects queued jobs that need the primary and can't be
 // served in time.
 func (g *group) rejectUnservable(now timekeeper.Millis) {
-	if g.queue.LenByLane(scheduler.LanePrimary) == 0 {
+	if g.queue.LenByLane(scheduler.LanePrimary) == 0 && g.balance.lateCount() == 0 {
 		return
 	}
 	for _, j := range sortedJobs(g.waiting) {
@@ -258,6 +262,7 @@
 		return
 	}
 	g.addWaiting(j)
+	g.balance.arrived(j)
 }
 
 // reject completes a job that can't be served now. The answer is CodeNotRun
@@ -371,7 +376,9 @@
 		}
 		return s
 	}
+	requirement := router.ReadRequirement{Floor: floor, History: g.lease.History}
 	candidates := g.candidates(now, rankOf(j.database))
+	g.balance.restrict(now, j, candidates, requirement, known)
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Primary && (!known || j.excluded[c.Name]) || !hasConn(g.servers[i]) {
@@ -382,7 +389,7 @@
 			c.InFlight += opening
 		}
 	}
-	if i := router.SelectForRead(candidates, router.ReadRequirement{Floor: floor, History: g.lease.History}); i >= 0 {
+	if i := router.SelectForRead(candidates, requirement); i >= 0 {
 		return g.servers[i]
 	}
 	return nil
--- a/multiplexer/server.go
+++ b/multiplexer/server.go
@@ -111,6 +111,7 @@
 	// it reached failingErrorRate; 0 if it is lower.
 	errorRate    float64
 	failingSince timekeeper.Millis
+	trust
 }
 
 // oldestUnanswered returns when the oldest outstanding answer was requested,
@@ -143,7 +144,7 @@
 func (s *server) limit(g *group, rank scheduler.Rank) int {
 	limit := g.mux.share(g)
 	if rank > scheduler.RankUrgent {
-		sharers := max(g.sharers, 1)
+		sharers := g.balance.sharers(g, s)
 		limit = min(limit, max(1, (queueFactor*max(s.Slots, 1)+sharers-1)/sharers))
 	}
 	return limit
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -52,13 +52,14 @@
 	partial bool
 	// shedding holds the names of the daemons that shed their roles, sorted.
 	shedding []string
+	// uneven says that the capacities of the hosts differ much.
+	uneven bool
 }
 
 // New returns the placement for the daemon self among the live hosts, which may
 // or may not include it.
 func New(self Host, hosts []Host) Placement {
-	p := Placement{self: self}
-	p.domains = map[string]int{}
+	p := Placement{self: self, domains: map[string]int{}}
 	add := func(h Host) {
 		p.hosts = append(p.hosts, h)
 		p.domains[h.Domain]++
@@ -73,6 +74,7 @@
 		}
 	}
 	slices.SortFunc(p.hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	p.uneven = unevenCapacities(p.hosts)
 	return p
 }
 
@@ -95,6 +97,30 @@
 	return p
 }
 
+// WithUneven returns a copy that says whether the capacities of the hosts differ much.
+func (p Placement) WithUneven(uneven bool) Placement {
+	p.uneven = uneven
+	return p
+}
+
+// unevenRatio is how many times the capacity of the smallest host the largest one has in a
+// fleet whose capacities differ much.
+const unevenRatio = 10
+
+// unevenCapacities reports whether the capacities of the hosts are known and differ much.
+func unevenCapacities(hosts []Host) bool {
+	least, most := hosts[0].Capacity, int64(0)
+	for _, h := range hosts {
+		least, most = min(least, h.Capacity), max(most, h.Capacity)
+	}
+	return least > 0 && most >= unevenRatio*least
+}
+
+// Uneven reports whether the capacities of the hosts differ much.
+func (p Placement) Uneven() bool {
+	return p.uneven
+}
+
 // Self returns the daemon whose view this is.
 func (p Placement) Self() Host {
 	return p.self
@@ -112,7 +138,7 @@
 
 // Equal reports whether two placements have the same hosts.
 func (p Placement) Equal(other Placement) bool {
-	return p.self == other.self && p.partial == other.partial && slices.Equal(p.hosts, other.hosts) && slices.Equal(p.shedding, other.shedding)
+	return p.self == other.self && p.partial == other.partial && p.uneven == other.uneven && slices.Equal(p.hosts, other.hosts) && slices.Equal(p.shedding, other.shedding)
 }
 
 // CarriersPerDomain returns how many daemons of each failure domain carry a
@@ -144,6 +170,22 @@
 	return min(p.HostCount(), carriersPerDomain*max(len(p.domains), 1))
 }
 
+// SharersOutside returns how many daemons outside a failure domain send work to
+// the servers of a group that has the given number of carriers in each.
+func (p Placement) SharersOutside(domain string, carriersPerDomain int) int {
+	total := 0
+	for name, hosts := range p.domains {
+		switch {
+		case name == domain:
+		case carriersPerDomain == 0:
+			total += hosts
+		default:
+			total += min(hosts, carriersPerDomain)
+		}
+	}
+	return total
+}
+
 // SelectForAccount returns the index of the carrier, among those of a group in a failure
 // domain, that runs an account's work, by rendezvous hashing.
 func SelectForAccount(carriers []Host, group, account string) int {
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -27,7 +27,9 @@
 func newCore(settings Settings, muxDeps multiplexer.Deps, electorDeps elector.Deps) *core {
 	c := &core{settings: settings}
 	c.limits = newLimits(settings, &muxDeps, func(name string) (cataloger.Account, bool) { return c.mux.Account(name) })
-	c.mux = multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), muxDeps)
+	muxSettings := multiplexer.DefaultSettings(settings.Host.Domain)
+	muxSettings.Balance = settings.Balance
+	c.mux = multiplexer.New(muxSettings, muxDeps)
 	electorDeps.PrimaryHealth, electorDeps.SynchronousReplicas = c.mux.PrimaryHealth, c.mux.SynchronousReplicas
 	c.elector = elector.New(settings.Elector, electorDeps)
 	return c
--- a/proxier/metrics.go
+++ b/proxier/metrics.go
@@ -100,6 +100,7 @@
 		return 0
 	}))
 	p.metrics.registerGauge("heatherhall_timer_lag_seconds", "How late the daemon's timer fires on average.", locked(func() float64 { return float64(p.shedder.Lag()) / 1000 }))
+	p.metrics.registry.MustRegister(leavingReads{p})
 	p.metrics.registerGauge("heatherhall_ready", "Whether the daemon takes callers.", locked(func() float64 {
 		if p.mux.Ready() {
 			return 1
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -29,6 +29,8 @@
 	ShutdownGrace timekeeper.Millis
 	// MemoryLimit is the host's memory in bytes; 0 if unknown.
 	MemoryLimit int64
+	// Balance switches the balancing of reads between failure domains.
+	Balance multiplexer.Balance
 	// Elector configures primary changes.
 	Elector elector.Settings
 	// Intervals configures the loops that call the store.
@@ -172,7 +174,7 @@
 				delete(p.workers, c.Conn)
 				w.cancel()
 			}
-		case multiplexer.Forward, multiplexer.EndForward, multiplexer.PingCarrier, multiplexer.RenewLink, multiplexer.ForwardReply:
+		case multiplexer.Forward, multiplexer.EndForward, multiplexer.PingCarrier, multiplexer.AskLoad, multiplexer.RenewLink, multiplexer.ForwardReply:
 			p.executeForward(command)
 		}
 	}
