Keep clients within the process's memory and descriptors

Clients of legal behaviour one by one ran a process out of memory together: messages of legal size at once or sent in part, results that nobody reads, session values and prepared statements without a bound; connections without a session used up the descriptors.

Package rationer decides which connection waits, is refused or closed, package guarder applies that in both front ends. Reading stops first, then the message of the biggest holder is refused or its connection closed; a connection whose statement runs is never closed. The PostgreSQL path also had no size limit after TLS had started and took 16 MB before authentication.

--- a/boundary_test.go
+++ b/boundary_test.go
@@ -10,7 +10,7 @@
 // no I/O and read no clock.
 var decisionPackages = []string{
 	"acknowledger", "cataloger", "decider", "deduplicator", "dispatcher", "elector",
-	"multiplexer", "placer", "planner", "pooler", "promoter", "router", "scheduler", "sequencer", "sessioner", "watcher",
+	"multiplexer", "placer", "planner", "pooler", "promoter", "rationer", "router", "scheduler", "sequencer", "sessioner", "watcher",
 }
 
 // forbiddenImports are the packages that give access to I/O, the clock,
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -69,7 +69,7 @@
 			if err != nil {
 				return err
 			}
-			runner.SetGCLimits()
+			runner.SetGCLimits(settings)
 			return daemon.Run(stopSignal())
 		},
 	}
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -79,6 +79,9 @@
 	s.checkDatabases(c)
 	s.checkRanks(c)
 	s.checkTimes(c)
+	c.requireMin("memory", s.Memory, 64)
+	c.requireMin("descriptors", int64(s.Descriptors), 0)
+	c.faults = append(c.faults, s.Limits.Check()...)
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 
+	"github.com/heatherhall/heatherhall/rationer"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
@@ -42,6 +43,13 @@
 	Times Times `json:"times"`
 	// Log configures logging.
 	Log Log `json:"log"`
+	// Memory is the memory that the process may use, in MiB.
+	Memory int64 `json:"memory"`
+	// Descriptors is how many descriptors the process may have open; 0 is the limit of
+	// the process.
+	Descriptors int `json:"descriptors"`
+	// Limits bounds what clients may use.
+	Limits rationer.Limits `json:"limits"`
 	// Profile serves pprof on the metrics address.
 	Profile bool `json:"profile"`
 }
@@ -159,6 +167,9 @@
 	Decisions bool `json:"decisions"`
 }
 
+// DefaultMemory is the default of Settings.Memory in MiB.
+const DefaultMemory = 1024
+
 // Default returns the settings that apply where a settings file gives no value.
 // They are incomplete: host, platform, secret, tokens and databases have no
 // default.
@@ -183,7 +194,8 @@
 			LedgerRetention:  86_400_000,
 			DrainTimeout:     30_000,
 		},
-		Log: Log{Level: "info", Decisions: true},
+		Log:    Log{Level: "info", Decisions: true},
+		Memory: DefaultMemory,
 	}
 }
 
--- a/connector/answer.go
+++ b/connector/answer.go
@@ -32,17 +32,19 @@
 	response
 	keepRows bool
 	started  bool
+	// maxSize is the maximum size of the payload in bytes.
+	maxSize int
 }
 
 // add adds a message and the server's last reported position. Once the payload
-// exceeds maxResultSize, further messages are dropped and sqlState is set to
+// exceeds maxSize, further messages are dropped and sqlState is set to
 // codeResultTooLarge.
 func (r *responseReader) add(msg pgproto3.BackendMessage, position sequencer.Position) {
 	if !r.started {
 		r.started = true
 		r.readPosition = position
 	}
-	if len(r.payload) > maxResultSize {
+	if len(r.payload) > r.maxSize {
 		r.sqlState = codeResultTooLarge
 		return
 	}
@@ -76,7 +78,7 @@
 		return dispatcher.ExecResult{ExecStatus: dispatcher.ExecStatusConnLost}
 	}
 	if r.sqlState == codeResultTooLarge {
-		r.payload = encodeError(codeResultTooLarge, "the result is larger than the proxy's limit of 16 MB")
+		r.payload = encodeError(codeResultTooLarge, "the result is larger than the proxy's limit")
 	}
 	return dispatcher.ExecResult{
 		ExecStatus:    dispatcher.ExecStatusComplete,
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -17,12 +18,12 @@
 	// positionParameter is the name of the parameter that holds a server's
 	// position.
 	positionParameter = "position"
-	// maxResultSize is the maximum size of a response in bytes.
-	maxResultSize = 16 << 20
+	// defaultMaxResult is the default of Target.MaxResult.
+	defaultMaxResult = 16 << 20
 	// maxOutcomeSize is the maximum size in bytes of an outcome in the ledger. Of a
 	// larger one, only the completion messages are stored.
 	maxOutcomeSize = 8 << 10
-	// codeResultTooLarge is the SQLSTATE of a response above maxResultSize.
+	// codeResultTooLarge is the SQLSTATE of a response above Target.MaxResult.
 	codeResultTooLarge = "54000"
 	// codeAlreadyCommitted is the SQLSTATE that answers the BEGIN of a transaction
 	// whose request key was used by a committed transaction.
@@ -35,7 +36,9 @@
 	frontend *pgproto3.Frontend
 	pid      uint32
 	secret   []byte
-	execs    chan dispatcher.Exec
+	// maxResult is the maximum size of a response in bytes.
+	maxResult int
+	execs     chan dispatcher.Exec
 	// responses passes responses from readMessages to send.
 	responses chan response
 	// key is the request key of the open transaction if keyClaimed is set.
@@ -66,6 +69,7 @@
 		frontend:  hijacked.Frontend,
 		pid:       hijacked.PID,
 		secret:    hijacked.SecretKey,
+		maxResult: cmp.Or(target.MaxResult, defaultMaxResult),
 		execs:     make(chan dispatcher.Exec, 1),
 		responses: make(chan response, 1),
 	}
@@ -212,7 +216,7 @@
 		c.mu.Unlock()
 		return response{connLost: true}, false
 	}
-	c.current = &responseReader{keepRows: keepRows}
+	c.current = &responseReader{keepRows: keepRows, maxSize: c.maxResult}
 	c.mu.Unlock()
 	if n, err := c.conn.Write(batch); err != nil {
 		_ = c.conn.Close()
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -20,6 +20,8 @@
 	Database string
 	User     string
 	Password string
+	// MaxResult is the maximum size of a response in bytes; 0 is 16 MiB.
+	MaxResult int
 	// Local is the IP address to connect from; empty lets the system choose.
 	Local string
 }
--- a/listener/answer.go
+++ b/listener/answer.go
@@ -8,8 +8,13 @@
 
 	"github.com/heatherhall/heatherhall/classifier"
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/rationer"
 )
 
+// answerCopies is how many times an answer is in memory while it is sent: as it arrived
+// and without what the client did not ask for.
+const answerCopies = 2
+
 // sendOutcome sends the outcome of a batch and ReadyForQuery to the client. It
 // reports whether the connection stays open.
 func (c *client) sendOutcome(b *batch, o dispatcher.Outcome) bool {
@@ -31,7 +36,11 @@
 		return false
 	}
 	if len(o.Payload) > 0 {
-		if _, err := c.conn.Write(b.stripAddedParses(o.Payload)); err != nil {
+		if size := int64(len(o.Payload)); size > freeSize {
+			c.guard.Charge(rationer.PhaseSending, size*answerCopies)
+			defer c.guard.Release(size * answerCopies)
+		}
+		if _, err := c.Write(b.stripAddedParses(o.Payload)); err != nil {
 			return false
 		}
 	}
--- a/listener/batch.go
+++ b/listener/batch.go
@@ -155,10 +155,27 @@
 		return
 	}
 	s.types = append([]uint32(nil), m.ParameterOIDs...)
-	b.client.prepared[m.Name] = s
+	c := b.client
+	old, found := c.prepared[m.Name]
+	size := c.stateSize - statementCost(found, m.Name, old) + statementCost(true, m.Name, s)
+	if limit := c.listener.deps.State; limit > 0 && size > limit {
+		b.fail("53400", "the prepared statements are larger than the limit of "+strconv.FormatInt(limit, 10)+" bytes")
+		return
+	}
+	c.stateSize = size
+	c.prepared[m.Name] = s
 	b.sendParse(m.Name, s, false)
 }
 
+// statementCost returns the memory of a prepared statement in bytes, 0 if there is none.
+func statementCost(found bool, name string, s statement) int64 {
+	const entryCost = 256
+	if !found {
+		return 0
+	}
+	return int64(len(name)+len(s.sql)+4*len(s.types)) + entryCost
+}
+
 // sendParse adds to the payload a Parse of s as the server's unnamed statement.
 // The argument added is true if the client did not send a Parse itself.
 func (b *batch) sendParse(name string, s statement, added bool) {
@@ -208,6 +225,8 @@
 func (b *batch) close(m *pgproto3.Close) {
 	closed := *m
 	if m.ObjectType == 'S' {
+		old, found := b.client.prepared[m.Name]
+		b.client.stateSize -= statementCost(found, m.Name, old)
 		delete(b.client.prepared, m.Name)
 		closed.Name = ""
 		b.hasParsed = false
--- a/listener/client.go
+++ b/listener/client.go
@@ -1,14 +1,19 @@
 package listener
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/heatherhall/heatherhall/classifier"
 	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/guarder"
+	"github.com/heatherhall/heatherhall/rationer"
 	"github.com/heatherhall/heatherhall/sequencer"
 	"github.com/heatherhall/heatherhall/sessioner"
 )
@@ -26,12 +31,15 @@
 // client is the connection of one client.
 type client struct {
 	listener *Listener
-	conn     net.Conn
-	backend  *pgproto3.Backend
-	id       uint64
-	secret   uint32
-	customer string
-	database string
+	// conn is raw, the connection itself, or TLS over it.
+	conn, raw net.Conn
+	frames    *frameReader
+	guard     *guarder.Conn
+	backend   *pgproto3.Backend
+	id        uint64
+	secret    uint32
+	customer  string
+	database  string
 	// admitted is set if the connection counts towards the customer's limit.
 	admitted bool
 	session  sessioner.Session
@@ -49,6 +57,21 @@
 	txLost bool
 	// sentFloor is the floor in the token last sent to the client.
 	sentFloor sequencer.Position
+	// started says that the session has started, and leaving that the connection only
+	// waits for the client to accept the reason of its end.
+	started, leaving bool
+	// hasDeadline says that reads have a deadline.
+	hasDeadline bool
+	// batchSize is the size of the batch that arrives, and reserved the memory that is
+	// reserved for it. refused says that the batch has got no memory.
+	batchSize int
+	reserved  int64
+	refused   bool
+	// stateSize is the size of the prepared statements in bytes, and chargedState what
+	// the guard knows of it.
+	stateSize, chargedState int64
+	// stopped is set when the guard stops the connection.
+	stopped atomic.Bool
 
 	mu sync.Mutex
 	// busy is set while a batch runs or a transaction is open.
@@ -56,19 +79,36 @@
 	closed bool
 }
 
+// newClient returns the client of a connection, or nil if there are too many. The
+// client then gets an error, which a new connection has room for.
 func newClient(l *Listener, conn net.Conn, id uint64) *client {
-	backend := pgproto3.NewBackend(conn, conn)
-	backend.SetMaxBodyLen(maxMessageSize)
-	return &client{
+	c := &client{
 		listener: l,
 		conn:     conn,
-		backend:  backend,
+		raw:      conn,
 		id:       id,
 		prepared: map[string]statement{},
 		outcomes: make(chan dispatcher.Outcome, 1),
 		ended:    make(chan struct{}),
 		status:   statusIdle,
 	}
+	if c.guard = l.deps.Guard.Open(conn.RemoteAddr().String(), c.stop); c.guard == nil {
+		c.backend = pgproto3.NewBackend(conn, c)
+		c.leaving = true
+		c.fatal(limitError(guarder.ReasonConnections))
+		_ = conn.Close() // it was refused
+		return nil
+	}
+	c.setConn(conn)
+	return c
+}
+
+// setConn makes the client's messages go over a connection.
+func (c *client) setConn(conn net.Conn) {
+	c.conn = conn
+	c.frames = newFrameReader(c, conn)
+	c.backend = pgproto3.NewBackend(c.frames, c)
+	c.backend.SetMaxBodyLen(maxMessageSize)
 }
 
 func (c *client) close() {
@@ -129,9 +169,12 @@
 
 // run serves the client until the connection ends.
 func (c *client) run() {
+	c.setReadDeadline(time.Now().Add(c.listener.deps.Timeouts.Startup.Duration()))
 	if !c.handleStartup() {
 		return
 	}
+	c.started = true
+	c.setReadDeadline(time.Time{})
 	defer c.listener.deps.Disconnect(c.id)
 	for {
 		b, err := c.receive()
@@ -141,9 +184,21 @@
 		if !c.setBusy(true) {
 			return
 		}
+		if !c.guard.SetPhase(rationer.PhaseRunning) {
+			c.leaving = true
+			c.fatal(limitError(guarder.ReasonMemory))
+			return
+		}
 		if !c.handle(b) {
 			return
 		}
+		c.releaseBatch()
+		c.chargeState()
+		if !c.guard.SetPhase(rationer.PhaseIdle) {
+			c.leaving = true
+			c.fatal(limitError(guarder.ReasonMemory))
+			return
+		}
 		if !c.setBusy(c.status != statusIdle) {
 			return
 		}
@@ -155,8 +210,15 @@
 	b := newBatch(c)
 	for {
 		msg, err := c.backend.Receive()
+		if errors.Is(err, errRefused) {
+			b.fail(codeOutOfMemory, "client limit: memory")
+			if c.frames.refused == 'Q' {
+				return b, nil
+			}
+			continue
+		}
 		if err != nil {
-			c.reportTooLarge(err)
+			c.reportReadError(err, guarder.ReasonMessage)
 			return nil, err
 		}
 		done, err := b.add(msg)
@@ -170,6 +232,7 @@
 // maxMessageSize.
 func (c *client) reportTooLarge(err error) {
 	if _, over := err.(*pgproto3.ExceededMaxBodyLenErr); over {
+		c.guard.Report(guarder.ReasonSize)
 		c.fatal(&Error{Op: "receive", Kind: KindProtocol, Code: "54000", Text: "a message is larger than the proxy's limit of 16 MB"})
 	}
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -6,13 +6,16 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/heatherhall/heatherhall/classifier"
 	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/guarder"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/sessioner"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -45,6 +48,11 @@
 	Log func(format string, args ...any)
 	// StatementTimeout is how long a client waits for an outcome.
 	StatementTimeout timekeeper.Millis
+	// Guard keeps clients within their limits, and Timeouts limits how long they may
+	// take. State is the max size of a client's prepared statements in bytes.
+	Guard    *guarder.Guard
+	Timeouts guarder.Timeouts
+	State    int64
 	// HostNumber identifies this daemon's host in cancel keys.
 	HostNumber uint16
 }
@@ -96,13 +104,25 @@
 	return done
 }
 
+// acceptPause is the pause after a connection could not be accepted.
+const acceptPause = 100 * time.Millisecond
+
 func (l *Listener) accept() {
 	for {
 		conn, err := l.listener.Accept()
 		if err != nil {
-			return
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// No descriptor is left, or the client has gone already.
+			l.deps.Log("listener: accept: %v", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		c := newClient(l, conn, l.lastID.Add(1))
+		if c == nil {
+			continue
+		}
 		l.mu.Lock()
 		l.clients[c.id] = c
 		l.mu.Unlock()
@@ -125,6 +145,7 @@
 
 func (l *Listener) remove(c *client) {
 	c.close()
+	c.guard.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.clients, c.id)
--- a/listener/startup.go
+++ b/listener/startup.go
@@ -10,6 +10,7 @@
 	"github.com/xdg-go/scram"
 
 	"github.com/heatherhall/heatherhall/decider"
+	"github.com/heatherhall/heatherhall/guarder"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/sessioner"
 )
@@ -37,6 +38,7 @@
 	for {
 		msg, err := c.backend.ReceiveStartupMessage()
 		if err != nil {
+			c.reportReadError(err, guarder.ReasonStartup)
 			return false
 		}
 		switch m := msg.(type) {
@@ -71,8 +73,7 @@
 	if _, err := c.conn.Write([]byte("S")); err != nil {
 		return false
 	}
-	c.conn = tls.Server(c.conn, c.listener.deps.TLS)
-	c.backend = pgproto3.NewBackend(c.conn, c.conn)
+	c.setConn(tls.Server(c.conn, c.listener.deps.TLS))
 	return true
 }
 
@@ -131,6 +132,9 @@
 	if err := c.openSession(parameters); err != nil {
 		return err
 	}
+	if !c.guard.Started() {
+		return limitError(c.guard.Stopped())
+	}
 	return c.sendStartupResponse()
 }
 
--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -65,9 +65,11 @@
 	catalog  int64
 	values   map[string]string
 	prepared map[string]prepared
-	floor    sequencer.Position
-	tx       *transaction
-	job      *job
+	// stateSize is the size of values and prepared in bytes.
+	stateSize int64
+	floor     sequencer.Position
+	tx        *transaction
+	job       *job
 	// pipelined are statements that arrived while another one was in progress.
 	pipelined []Statement
 	// closed says that the client has disconnected, and closing that the driver
@@ -172,13 +174,23 @@
 	}
 	switch st.Kind {
 	case KindSet:
+		old, found := s.values[st.Name]
+		if !m.resizeState(s, stateCost(found, st.Name, old), stateCost(true, st.Name, st.Args)) {
+			return
+		}
 		s.values = maps.Clone(s.values)
 		s.values[st.Name] = st.Args
 		m.answer(s, Answer{})
 	case KindPrepare:
+		old, found := s.prepared[st.Name]
+		if !m.resizeState(s, stateCost(found, st.Name, old.shape), stateCost(true, st.Name, st.Args)) {
+			return
+		}
 		s.prepared[st.Name] = prepared{writes: st.Writes, shape: st.Args}
 		m.answer(s, Answer{})
 	case KindDeallocate:
+		old, found := s.prepared[st.Name]
+		s.stateSize -= stateCost(found, st.Name, old.shape)
 		delete(s.prepared, st.Name)
 		m.answer(s, Answer{})
 	case KindBegin, KindBeginRead:
@@ -200,10 +212,34 @@
 		return
 	}
 	if !s.closed {
-		m.emit(Reply{Session: s.id, Answer: a})
+		m.emit(Reply{Session: s.id, Answer: a, StateSize: s.stateSize})
 	}
 }
 
+// entryCost is the size in bytes of an entry of a session's state besides its texts.
+const entryCost = 128
+
+// stateCost returns the size of an entry of a session's state, 0 if there is none.
+func stateCost(found bool, name, text string) int64 {
+	if !found {
+		return 0
+	}
+	return int64(len(name)+len(text)) + entryCost
+}
+
+// resizeState changes the size of a session's state from that with an old entry to that
+// with a new one. It answers the statement and reports false if the state would be
+// larger than the limit.
+func (m *Multiplexer) resizeState(s *session, before, after int64) bool {
+	size, limit := s.stateSize-before+after, m.settings.SessionState
+	if limit > 0 && size > limit && after > before {
+		m.answer(s, Answer{Code: CodeFailed, Text: "the session's values and prepared statements are larger than the limit of " + strconv.FormatInt(limit, 10) + " bytes"})
+		return false
+	}
+	s.stateSize = size
+	return true
+}
+
 // begin opens a transaction in the session. The server begins it with its first
 // statement.
 func (m *Multiplexer) begin(now timekeeper.Millis, s *session, st Statement) {
@@ -388,3 +424,18 @@
 	m.answer(s, Answer{Code: CodeMalformed, Text: text})
 	return m.takeCommands()
 }
+
+// Refuse answers a statement that the driver did not pass on, and so did not run, with
+// a. If that ends an open transaction, the code is CodeAborted.
+func (m *Multiplexer) Refuse(now timekeeper.Millis, id uint64, a Answer) []Command {
+	s := m.sessions[id]
+	if s == nil {
+		return nil
+	}
+	if s.tx != nil {
+		m.abort(now, s)
+		a.Code = CodeAborted
+	}
+	m.answer(s, a)
+	return m.takeCommands()
+}
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -29,6 +29,9 @@
 	// StalenessMargin is subtracted from the max age of reads, to allow for
 	// clock error and scheduling delays.
 	StalenessMargin timekeeper.Millis
+	// SessionState is the max size in bytes of a session's values and prepared
+	// statements; 0 sets no limit.
+	SessionState int64
 }
 
 // DefaultSettings returns the default settings of a daemon in a failure domain.
--- a/multiplexer/statement.go
+++ b/multiplexer/statement.go
@@ -132,6 +132,8 @@
 type Reply struct {
 	Session uint64
 	Answer  Answer
+	// StateSize is the size in bytes of the session's values and prepared statements.
+	StateSize int64
 }
 
 // OpenConn opens a connection to a server. The driver reports the result with
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -21,7 +21,9 @@
 }
 
 func newCore(settings Settings, muxDeps multiplexer.Deps, electorDeps elector.Deps) *core {
-	c := &core{settings: settings, mux: multiplexer.New(multiplexer.DefaultSettings(settings.Host.Domain), muxDeps)}
+	muxSettings := multiplexer.DefaultSettings(settings.Host.Domain)
+	muxSettings.SessionState = settings.SessionState
+	c := &core{settings: settings, mux: multiplexer.New(muxSettings, muxDeps)}
 	electorDeps.PrimaryHealth, electorDeps.SynchronousReplicas = c.mux.PrimaryHealth, c.mux.SynchronousReplicas
 	c.elector = elector.New(settings.Elector, electorDeps)
 	return c
--- a/proxier/deps.go
+++ b/proxier/deps.go
@@ -56,4 +56,7 @@
 	Inspect func(ctx context.Context, server cataloger.Server, request elector.InspectRequest) (elector.ServerStatus, error)
 	// Promote requests that a backend server becomes the primary of its group.
 	Promote func(ctx context.Context, promotion elector.Promotion) error
+	// Hold reserves n bytes for a purpose that name names in the log. It reports false if
+	// they are not free; release returns them. Nil sets no limit.
+	Hold func(name string, n int64) (release func(), held bool)
 }
--- a/proxier/forward.go
+++ b/proxier/forward.go
@@ -53,8 +53,37 @@
 	})
 }
 
+// freeForwardSize is the size in bytes up to which other daemons' statements need no
+// reservation.
+const freeForwardSize = 16 << 10
+
+// holdForwarded reserves memory for another daemon's statement. It reports false if there
+// is none: then the other daemon is to run the statement elsewhere.
+func (p *Proxy) holdForwarded(r multiplexer.ForwardRequest) (release func(), held bool) {
+	size := len(r.Statement.Args) + len(r.Shape)
+	for name, value := range r.Values {
+		size += len(name) + len(value)
+	}
+	if p.deps.Hold == nil || size <= freeForwardSize {
+		return func() {}, true
+	}
+	return p.deps.Hold("another daemon", int64(size)*forwardCopies)
+}
+
+// forwardCopies is how many times another daemon's statement is in memory: as it
+// arrived, decoded, and encoded for the server.
+const forwardCopies = 3
+
 // runForwarded runs a statement for another daemon and waits for its answer.
 func (p *Proxy) runForwarded(ctx context.Context, link uint64, request multiplexer.ForwardRequest) (multiplexer.ForwardAnswer, error) {
+	release, held := p.holdForwarded(request)
+	if !held {
+		if request.Start == multiplexer.StartContinue {
+			p.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command { return p.mux.EndForwarded(now, link, request.Work) })
+		}
+		return multiplexer.ForwardAnswer{Unavailable: true}, nil
+	}
+	defer release()
 	key := forwardWait{link, request.Work}
 	wait := make(chan multiplexer.ForwardAnswer, 1)
 	p.mu.Lock()
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -26,6 +26,9 @@
 	RegistrationGrace timekeeper.Millis
 	// ShutdownGrace is the maximum duration of a graceful shutdown.
 	ShutdownGrace timekeeper.Millis
+	// SessionState is the max size in bytes of a session's values and prepared
+	// statements; 0 sets no limit.
+	SessionState int64
 	// Elector configures primary changes.
 	Elector elector.Settings
 	// Intervals configures the loops that call the store.
@@ -146,6 +149,7 @@
 		switch c := command.(type) {
 		case multiplexer.Reply:
 			if s := p.sessions[c.Session]; s != nil {
+				s.stateSize = c.StateSize
 				s.answers <- c.Answer
 			}
 		case multiplexer.CloseSession:
--- a/proxier/session.go
+++ b/proxier/session.go
@@ -12,6 +12,8 @@
 	id         uint64
 	answers    chan multiplexer.Answer
 	disconnect func()
+	// stateSize is set before an answer is sent to answers.
+	stateSize int64
 	// daemonDone is closed once the daemon ends.
 	daemonDone <-chan struct{}
 }
@@ -60,6 +62,17 @@
 	})
 }
 
+// StateSize returns the size in bytes of the session's values and prepared statements
+// as of the last answer.
+func (s *Session) StateSize() int64 { return s.stateSize }
+
+// Refuse returns the answer to a statement that the daemon does not run for the reason
+// in a. It ends an open transaction.
+func (s *Session) Refuse(a multiplexer.Answer) multiplexer.Answer {
+	s.proxy.withMultiplexer(func(now timekeeper.Millis) []multiplexer.Command { return s.proxy.mux.Refuse(now, s.id, a) })
+	return s.awaitAnswer()
+}
+
 // Reject returns the error answer, with the given text, to a message that is not a
 // statement. It ends an open transaction.
 func (s *Session) Reject(text string) multiplexer.Answer {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,10 +14,12 @@
 	"github.com/heatherhall/heatherhall/configurer"
 	"github.com/heatherhall/heatherhall/connector"
 	"github.com/heatherhall/heatherhall/decider"
+	"github.com/heatherhall/heatherhall/guarder"
 	"github.com/heatherhall/heatherhall/listener"
 	"github.com/heatherhall/heatherhall/observer"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/pooler"
+	"github.com/heatherhall/heatherhall/rationer"
 	"github.com/heatherhall/heatherhall/relayer"
 	"github.com/heatherhall/heatherhall/storer"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -41,6 +43,8 @@
 	platform *storer.Client
 	relayer  *relayer.Relayer
 	listener *listener.Listener
+	guard    *guarder.Guard
+	limits   rationer.Limits
 	// targets holds the backend servers by database and name.
 	targets map[string]map[string]connector.Target
 
@@ -99,7 +103,10 @@
 		lists:    planner.Empty(),
 		ctx:      context.Background(),
 	}
-	if r.targets, err = newTargets(settings); err != nil {
+	r.limits = clientLimits(settings)
+	r.guard = guarder.New(r.limits.Settings(), r.clock, guarder.LoggedDeps(r.log, r.metrics.Registry()))
+	r.guard.RegisterGauges(r.metrics.Registry())
+	if r.targets, err = newTargets(settings, int(r.limits.Result<<20)); err != nil {
 		return nil, err
 	}
 	deciderSettings := r.deciderSettings()
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -9,6 +9,7 @@
 	"github.com/heatherhall/heatherhall/connector"
 	"github.com/heatherhall/heatherhall/decider"
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/guarder"
 	"github.com/heatherhall/heatherhall/listener"
 	"github.com/heatherhall/heatherhall/promoter"
 	"github.com/heatherhall/heatherhall/sessioner"
@@ -32,7 +33,7 @@
 
 // newTargets returns the backend servers by database and name. It returns an
 // error if the password can't be read.
-func newTargets(settings configurer.Settings) (map[string]map[string]connector.Target, error) {
+func newTargets(settings configurer.Settings, maxResult int) (map[string]map[string]connector.Target, error) {
 	password := ""
 	if settings.Backend.Password != nil {
 		text, err := settings.Backend.Password.Resolve()
@@ -46,11 +47,12 @@
 		targets[d.Name] = map[string]connector.Target{}
 		for _, s := range d.Servers {
 			targets[d.Name][s.Name] = connector.Target{
-				Address:  s.Address,
-				Database: d.Name,
-				User:     settings.Backend.User,
-				Password: password,
-				Local:    hostOf(settings.Host.Peer),
+				Address:   s.Address,
+				Database:  d.Name,
+				User:      settings.Backend.User,
+				Password:  password,
+				MaxResult: maxResult,
+				Local:     hostOf(settings.Host.Peer),
 			}
 		}
 	}
@@ -156,6 +158,9 @@
 		TLS:              tlsConfig,
 		Log:              r.log.Infof,
 		StatementTimeout: r.settings.Times.StatementTimeout,
+		Guard:            r.guard,
+		Timeouts:         guarder.NewTimeouts(r.limits),
+		State:            r.limits.State << 10,
 		HostNumber:       decider.HostNumber(r.settings.Host.Name),
 	}
 }
