Keep the shutdown message of the listener within its own deadline, and bound prepared statements of server connections

The deadline of the last write would have failed a shutdown message to a session that had been idle for longer. A client with ever new prepared statements filled the servers' connections; they are reset at 1,000.

--- a/listener/client.go
+++ b/listener/client.go
@@ -145,6 +145,7 @@
 		Message:  "this daemon stops, connect to another",
 	}).Encode(nil)
 	if err == nil {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(lastWords)) // an earlier one may have passed
 		_, _ = c.conn.Write(data)
 	}
 	c.closeLocked()
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -107,20 +107,28 @@
 	return st
 }
 
+// maxConnPrepared is how many prepared statements a server connection keeps. A client
+// with ever new ones would otherwise fill the memory of the server and of this daemon.
+const maxConnPrepared = 1000
+
 // sessionSetup returns the statements that set the session's values on the
 // connection and prepare the statement that the job executes. It records them
 // as done on the connection.
 func (j *job) sessionSetup() []Statement {
 	c, s := j.conn, j.session
 	var out []Statement
+	reset := len(c.prepared) >= maxConnPrepared && (s.tx == nil || !s.tx.begun)
 	for name := range c.values {
 		if _, wanted := s.values[name]; !wanted {
-			out = append(out, Statement{Kind: KindReset})
-			c.values = map[string]string{}
-			c.prepared = map[string]bool{}
+			reset = true
 			break
 		}
 	}
+	if reset {
+		out = append(out, Statement{Kind: KindReset})
+		c.values = map[string]string{}
+		c.prepared = map[string]bool{}
+	}
 	for _, name := range sortedKeys(s.values) {
 		value := s.values[name]
 		if current, found := c.values[name]; !found || current != value {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -110,9 +110,10 @@
 	return &Rationer{settings: settings, starting: list.New(), partial: list.New(), newcomers: list.New(), holders: list.New()}
 }
 
-// Used returns the bytes that are reserved, and Connections the number of
-// connections.
-func (r *Rationer) Used() int64      { return r.used }
+// Used returns the bytes that are reserved.
+func (r *Rationer) Used() int64 { return r.used }
+
+// Connections returns the number of connections.
 func (r *Rationer) Connections() int { return r.count }
 
 // Open decides about a new connection. At the limit it returns the connection that
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -54,102 +54,104 @@
 
 func (f *fixture) relieve(now timekeeper.Millis) { f.changes(f.r.Relieve(now)) }
 
+// memoryTests are sequences of calls with the verdicts that are due.
+var memoryTests = map[string]struct {
+	run  func(f *fixture)
+	want []string
+}{
+	"within the budget": {func(f *fixture) {
+		f.open("a", "b")
+		f.reserve(1, "a", 40)
+		f.reserve(1, "b", 35)
+	}, []string{"a granted", "b granted"}},
+	"more than one connection may hold": {func(f *fixture) {
+		f.open("a")
+		f.reserve(1, "a", 40)
+		f.reserve(1, "a", 21)
+	}, []string{"a granted", "a too large"}},
+	"newcomers leave room to complete": {func(f *fixture) {
+		f.open("a", "b", "c")
+		f.reserve(1, "a", 40)
+		f.reserve(1, "b", 35)
+		f.reserve(1, "c", 1)
+		f.reserve(1, "a", 20)
+		f.release("a", 60)
+	}, []string{"a granted", "b granted", "c queued", "a granted", "c granted"}},
+	"in order of arrival": {func(f *fixture) {
+		f.open("a", "b", "c")
+		f.reserve(1, "a", 60)
+		f.reserve(2, "b", 30)
+		f.reserve(3, "c", 5)
+		f.release("a", 30)
+		f.release("a", 30)
+	}, []string{"a granted", "b queued", "c queued", "b granted", "c granted"}},
+	"patience": {func(f *fixture) {
+		f.open("a", "b")
+		f.reserve(1, "a", 60)
+		f.reserve(2, "b", 30)
+		f.relieve(11)
+	}, []string{"a granted", "b queued"}},
+	"the biggest holder is stopped once": {func(f *fixture) {
+		f.open("a", "b", "c")
+		f.reserve(1, "a", 20)
+		f.reserve(1, "b", 50)
+		f.reserve(2, "c", 30)
+		f.relieve(12)
+		f.relieve(13)
+		f.changes(f.r.Close(f.conns["b"]))
+	}, []string{"a granted", "b granted", "c queued", "b stopped", "c granted"}},
+	"one that waits is refused, not closed": {func(f *fixture) {
+		f.open("a", "b")
+		f.reserve(1, "a", 55)
+		f.reserve(1, "b", 20)
+		f.reserve(2, "b", 25)
+		f.reserve(2, "a", 5)
+		f.relieve(12)
+	}, []string{"a granted", "b granted", "b granted", "a queued", "a refused"}},
+	"a statement that runs is not stopped": {func(f *fixture) {
+		f.open("a", "b", "c")
+		f.reserve(1, "a", 50)
+		f.reserve(1, "b", 20)
+		f.r.SetPhase(f.conns["a"], PhaseRunning)
+		f.reserve(2, "c", 30)
+		f.relieve(12)
+	}, []string{"a granted", "b granted", "c queued", "b stopped"}},
+	"all run, the one that waits is refused": {func(f *fixture) {
+		f.open("a", "c")
+		f.reserve(1, "a", 60)
+		f.r.SetPhase(f.conns["a"], PhaseRunning)
+		f.reserve(2, "c", 30)
+		f.relieve(12)
+		f.relieve(42)
+	}, []string{"a granted", "c queued", "c refused"}},
+	"answers over the budget": {func(f *fixture) {
+		f.open("a", "b")
+		f.r.Charge(f.conns["a"], 70)
+		f.r.Charge(f.conns["b"], 40)
+		f.relieve(1)
+		f.relieve(1)
+	}, []string{"a stopped"}},
+	"memory of no connection": {func(f *fixture) {
+		f.open("a")
+		f.conns["s"] = f.r.OpenSystem()
+		f.changes([]Change{{Conn: f.conns["s"], Verdict: f.r.Reserve(1, f.conns["s"], 90)}})
+		f.reserve(2, "a", 30)
+		f.relieve(12)
+		f.changes(f.r.Close(f.conns["s"]))
+	}, []string{"s granted", "a queued", "a granted"}},
+	"a connection that gives up": {func(f *fixture) {
+		f.open("a", "b", "c")
+		f.reserve(1, "a", 60)
+		f.reserve(2, "b", 30)
+		f.reserve(3, "c", 5)
+		f.changes(f.r.Close(f.conns["b"]))
+	}, []string{"a granted", "b queued", "c queued", "c granted"}},
+}
+
 // Guards against a connection that is stopped, refused or kept waiting although
 // another one is to be.
 func TestMemory(t *testing.T) {
-	tests := map[string]struct {
-		run  func(f *fixture)
-		want []string
-	}{
-		"within the budget": {func(f *fixture) {
-			f.open("a", "b")
-			f.reserve(1, "a", 40)
-			f.reserve(1, "b", 35)
-		}, []string{"a granted", "b granted"}},
-		"more than one connection may hold": {func(f *fixture) {
-			f.open("a")
-			f.reserve(1, "a", 40)
-			f.reserve(1, "a", 21)
-		}, []string{"a granted", "a too large"}},
-		"newcomers leave room to complete": {func(f *fixture) {
-			f.open("a", "b", "c")
-			f.reserve(1, "a", 40)
-			f.reserve(1, "b", 35)
-			f.reserve(1, "c", 1)
-			f.reserve(1, "a", 20)
-			f.release("a", 60)
-		}, []string{"a granted", "b granted", "c queued", "a granted", "c granted"}},
-		"in order of arrival": {func(f *fixture) {
-			f.open("a", "b", "c")
-			f.reserve(1, "a", 60)
-			f.reserve(2, "b", 30)
-			f.reserve(3, "c", 5)
-			f.release("a", 30)
-			f.release("a", 30)
-		}, []string{"a granted", "b queued", "c queued", "b granted", "c granted"}},
-		"patience": {func(f *fixture) {
-			f.open("a", "b")
-			f.reserve(1, "a", 60)
-			f.reserve(2, "b", 30)
-			f.relieve(11)
-		}, []string{"a granted", "b queued"}},
-		"the biggest holder is stopped once": {func(f *fixture) {
-			f.open("a", "b", "c")
-			f.reserve(1, "a", 20)
-			f.reserve(1, "b", 50)
-			f.reserve(2, "c", 30)
-			f.relieve(12)
-			f.relieve(13)
-			f.changes(f.r.Close(f.conns["b"]))
-		}, []string{"a granted", "b granted", "c queued", "b stopped", "c granted"}},
-		"one that waits is refused, not closed": {func(f *fixture) {
-			f.open("a", "b")
-			f.reserve(1, "a", 55)
-			f.reserve(1, "b", 20)
-			f.reserve(2, "b", 25)
-			f.reserve(2, "a", 5)
-			f.relieve(12)
-		}, []string{"a granted", "b granted", "b granted", "a queued", "a refused"}},
-		"a statement that runs is not stopped": {func(f *fixture) {
-			f.open("a", "b", "c")
-			f.reserve(1, "a", 50)
-			f.reserve(1, "b", 20)
-			f.r.SetPhase(f.conns["a"], PhaseRunning)
-			f.reserve(2, "c", 30)
-			f.relieve(12)
-		}, []string{"a granted", "b granted", "c queued", "b stopped"}},
-		"all run, the one that waits is refused": {func(f *fixture) {
-			f.open("a", "c")
-			f.reserve(1, "a", 60)
-			f.r.SetPhase(f.conns["a"], PhaseRunning)
-			f.reserve(2, "c", 30)
-			f.relieve(12)
-			f.relieve(42)
-		}, []string{"a granted", "c queued", "c refused"}},
-		"answers over the budget": {func(f *fixture) {
-			f.open("a", "b")
-			f.r.Charge(f.conns["a"], 70)
-			f.r.Charge(f.conns["b"], 40)
-			f.relieve(1)
-			f.relieve(1)
-		}, []string{"a stopped"}},
-		"memory of no connection": {func(f *fixture) {
-			f.open("a")
-			f.conns["s"] = f.r.OpenSystem()
-			f.changes([]Change{{Conn: f.conns["s"], Verdict: f.r.Reserve(1, f.conns["s"], 90)}})
-			f.reserve(2, "a", 30)
-			f.relieve(12)
-			f.changes(f.r.Close(f.conns["s"]))
-		}, []string{"s granted", "a queued", "a granted"}},
-		"a connection that gives up": {func(f *fixture) {
-			f.open("a", "b", "c")
-			f.reserve(1, "a", 60)
-			f.reserve(2, "b", 30)
-			f.reserve(3, "c", 5)
-			f.changes(f.r.Close(f.conns["b"]))
-		}, []string{"a granted", "b queued", "c queued", "c granted"}},
-	}
-	for name, test := range tests {
+	for name, test := range memoryTests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
 			test.run(f)
