--- a/rationer/limits.go
+++ b/rationer/limits.go
@@ -53,7 +53,7 @@
 	fileDescriptors = 200
 	// connectionCost is the memory in bytes of an idle connection with its session, its
 	// goroutine and a message that needs no reservation.
-	connectionCost = 16 << 10
+	connectionCost = 24 << 10
 	minConnections = 16
 	// maxWaitFactor is how much longer than Patience a connection waits before it is
 	// refused itself.
