--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -29,6 +29,10 @@
 // otherwise all could wait for each other.
 const newcomerShare = 3
 
+// evictingDivisor divides Connections into how many evicted connections may be open. The
+// reserve of descriptors is a third of Connections.
+const evictingDivisor = 8
+
 // Phase is what a connection does. It decides whether the connection may be stopped.
 type Phase int
 
@@ -72,8 +76,9 @@
 	queuedAt timekeeper.Millis
 	// stopped says that the connection was chosen to be stopped.
 	stopped, system bool
-	// counted says that the connection counts towards Connections.
-	counted bool
+	// counted says that the connection counts towards Connections, and evicted that it
+	// was evicted and is not closed yet.
+	counted, evicted bool
 	// starting, waiting and holding are the connection's places in the lists of the
 	// Rationer; nil if it is not listed.
 	starting, waiting, holding *list.Element
@@ -99,6 +104,8 @@
 	// relievedAt is when a connection was last stopped because others waited.
 	relievedAt timekeeper.Millis
 	count      int
+	// evicting is how many evicted connections are not closed yet.
+	evicting int
 	// starting holds the connections without a session, the oldest first. The
 	// waiting ones are in order of arrival: partial those that hold memory already,
 	// newcomers the others. holders are the connections that hold memory.
@@ -118,11 +125,12 @@
 
 // Open decides about a new connection. At the limit it returns the connection that
 // has been without a session for longest, which is to be closed in favour of the new
-// one, or no connection at all if all have sessions.
+// one, or no connection at all if all have sessions or too many evicted ones are not
+// closed yet: they use descriptors beyond the limit.
 func (r *Rationer) Open() (c, evicted *Conn) {
 	if r.count >= r.settings.Connections {
 		oldest := r.starting.Front()
-		if oldest == nil {
+		if oldest == nil || r.evicting > r.settings.Connections/evictingDivisor {
 			return nil, nil
 		}
 		evicted = oldest.Value.(*Conn)
@@ -130,6 +138,8 @@
 		r.starting.Remove(oldest)
 		evicted.starting = nil
 		r.uncount(evicted)
+		evicted.evicted = true
+		r.evicting++
 	}
 	r.count++
 	c = &Conn{counted: true}
@@ -266,6 +276,10 @@
 // Close removes a connection and returns who gets its memory.
 func (r *Rationer) Close(c *Conn) []Change {
 	r.uncount(c)
+	if c.evicted {
+		c.evicted = false
+		r.evicting--
+	}
 	if c.starting != nil {
 		r.starting.Remove(c.starting)
 		c.starting = nil
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -198,6 +198,25 @@
 	}
 }
 
+// Guards against evicted connections that use up the descriptors because they are closed
+// more slowly than new ones arrive.
+func TestEvictions(t *testing.T) {
+	r := New(testSettings)
+	var evicted []*Conn
+	for range 100 {
+		if _, e := r.Open(); e != nil {
+			evicted = append(evicted, e)
+		}
+	}
+	if len(evicted) != 1 {
+		t.Fatalf("%d connections were evicted before one was closed, want 1", len(evicted))
+	}
+	r.Close(evicted[0])
+	if c, e := r.Open(); c == nil || e == nil {
+		t.Error("no connection was evicted after the first was closed")
+	}
+}
+
 // Guards against memory that is lost or granted twice, and against grants beyond the
 // budget, in any order of calls.
 func TestAccounts(t *testing.T) {
