--- a/boundary_test.go
+++ b/boundary_test.go
@@ -10,7 +10,7 @@
 // no I/O and read no clock.
 var decisionPackages = []string{
 	"acknowledger", "balancer", "cataloger", "decider", "deduplicator", "dispatcher", "elector", "limiter",
-	"multiplexer", "placer", "planner", "pooler", "promoter", "router", "scheduler", "sequencer", "sessioner", "shedder", "watcher",
+	"multiplexer", "placer", "planner", "pooler", "promoter", "rationer", "router", "scheduler", "sequencer", "sessioner", "shedder", "watcher",
 }
 
 // forbiddenImports are the packages that give access to I/O, the clock,
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -45,6 +45,9 @@
 	StalenessMargin timekeeper.Millis
 	// Balance switches the balancing of reads between failure domains.
 	Balance Balance
+	// SessionState is the max size in bytes of a session's values and prepared
+	// statements; 0 sets no limit.
+	SessionState int64
 }
 
 // DefaultSettings returns the default settings of a daemon in a failure domain.
--- a/proxier/core.go
+++ b/proxier/core.go
@@ -29,6 +29,7 @@
 	c.limits = newLimits(settings, &muxDeps, func(name string) (cataloger.Account, bool) { return c.mux.Account(name) })
 	muxSettings := multiplexer.DefaultSettings(settings.Host.Domain)
 	muxSettings.Balance = settings.Balance
+	muxSettings.SessionState = settings.SessionState
 	c.mux = multiplexer.New(muxSettings, muxDeps)
 	electorDeps.PrimaryHealth, electorDeps.SynchronousReplicas = c.mux.PrimaryHealth, c.mux.SynchronousReplicas
 	c.elector = elector.New(settings.Elector, electorDeps)
--- a/proxier/proxy.go
+++ b/proxier/proxy.go
@@ -31,6 +31,9 @@
 	MemoryLimit int64
 	// Balance switches the balancing of reads between failure domains.
 	Balance multiplexer.Balance
+	// SessionState is the max size in bytes of a session's values and prepared
+	// statements; 0 sets no limit.
+	SessionState int64
 	// Elector configures primary changes.
 	Elector elector.Settings
 	// Intervals configures the loops that call the store.
@@ -157,6 +160,7 @@
 		switch c := command.(type) {
 		case multiplexer.Reply:
 			if s := p.sessions[c.Session]; s != nil {
+				s.stateSize = c.StateSize
 				s.answers <- c.Answer
 			}
 		case multiplexer.CloseSession:
