--- a/limiter/bench_test.go
+++ b/limiter/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"testing"
 
 	"github.com/heatherhall/heatherhall/cataloger"
@@ -43,3 +44,44 @@
 		})
 	}
 }
+
+// BenchmarkMessages measures the messages of a fleet whose accounts' load follows a Zipf
+// distribution. Each account has twice its mean load as its limit, but at least 10
+// operations a second. The figures are for each daemon and second; bytes are those of the
+// messages as JSON without the envelope.
+func BenchmarkMessages(b *testing.B) {
+	tests := []struct {
+		hosts, domains, accounts int
+		load                     float64
+	}{{32, 3, 83, 935}, {133, 3, 83, 1718}, {1000, 5, 10_000, 10_000}}
+	for _, test := range tests {
+		b.Run(fmt.Sprint(test.hosts), func(b *testing.B) {
+			for b.Loop() {
+				sim := newSimulation(1, test.hosts, test.domains, cataloger.Account{Name: "a", RateLimit: 1})
+				sim.zipf = rand.NewZipf(sim.random, 1.2, 1, uint64(test.accounts-1))
+				counts := make([]int, test.accounts)
+				for range 100_000 {
+					counts[sim.zipf.Uint64()]++
+				}
+				for i, n := range counts {
+					limit := max(10, int(2*test.load*float64(n)/100_000))
+					sim.many = append(sim.many, cataloger.Account{Name: fmt.Sprint(i), RateLimit: limit, Burst: limit})
+				}
+				for _, d := range sim.daemons {
+					d.interval = timekeeper.Millis(float64(test.hosts) * 1000 / test.load)
+				}
+				sim.pass(5000)
+				sim.messages, sim.bytes, sim.refused, sim.offered = 0, 0, 0, 0
+				const length = 10_000
+				sim.pass(length)
+				perDaemon := float64(test.hosts) * length / 1000
+				b.ReportMetric(float64(sim.messages)/perDaemon, "messages/s")
+				b.ReportMetric(float64(sim.bytes)/perDaemon, "B/s")
+				b.ReportMetric(float64(sim.largest), "largest-B")
+				b.ReportMetric(float64(sim.messages)/float64(sim.offered), "messages/operation")
+				b.ReportMetric(100*float64(sim.refused)/float64(sim.offered), "%rejected")
+				b.ReportMetric(float64(sim.busiest())/(length/1000+5), "busiest-messages/s")
+			}
+		})
+	}
+}
--- a/limiter/bound_test.go
+++ b/limiter/bound_test.go
@@ -111,7 +111,6 @@
 		limit.Burst = limit.RateLimit * rapid.IntRange(0, 2).Draw(t, "burst")
 		sim := newSimulation(rapid.Int64().Draw(t, "seed"), rapid.SampledFrom([]int{2, 6, 15}).Draw(t, "hosts"), rapid.IntRange(1, 3).Draw(t, "domains"), limit)
 		sim.pass(2000)
-		sim.dbg()
 		sim.flood()
 		names := sortedBy(faults)
 		schedule := ""
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// hostsPerShard is how many of a domain's hosts make another shard worthwhile.
-	hostsPerShard = 64
+	// shardCount is how many coordinators each domain has. A number that followed the
+	// number of hosts would let daemons whose lists differ ask two coordinators for the
+	// tokens of one account.
+	shardCount = 4
 	// freezeGap is the time between two ticks above which the daemon was frozen.
 	freezeGap timekeeper.Millis = 300
 	// idleRetention is how long the state of an account without operations is kept.
@@ -75,7 +77,6 @@
 	placed    bool
 	gateway   *Gateway
 	coord     *Coordinator
-	shards    int
 	wokenAt   timekeeper.Millis
 	lastID    uint64
 	sent      map[uint64]Message
@@ -95,18 +96,9 @@
 	return l
 }
 
-// shardCount returns the number of shards, which depends on the largest domain.
-func shardCount(p placer.Placement) int {
-	largest := 0
-	for _, hosts := range p.Domains() {
-		largest = max(largest, hosts)
-	}
-	return 1 + largest/hostsPerShard
-}
-
 // shardOf returns the shard of an account.
-func shardOf(account string, shards int) int {
-	return int(xxhash.Sum64String(account) % uint64(max(shards, 1)))
+func shardOf(account string) int {
+	return int(xxhash.Sum64String(account) % shardCount)
 }
 
 // shardKey is the name under which a shard is placed on a domain's hosts.
@@ -120,11 +112,8 @@
 		return
 	}
 	l.placement, l.placed = p, true
-	if !p.Partial() || l.shards == 0 {
-		l.shards = shardCount(p)
-	}
-	l.gateway.setPlacement(p, l.shards)
-	l.coord.setPlacement(now, p, l.shards)
+	l.gateway.setPlacement(p)
+	l.coord.setPlacement(now, p)
 }
 
 // Admit asks for a token for an operation of an account. It returns Waiting if the
--- a/limiter/route.go
+++ b/limiter/route.go
@@ -65,12 +65,11 @@
 	r.suggested, r.suggestedUntil = h, now+suggestionTime
 }
 
-func (g *Gateway) setPlacement(p placer.Placement, shards int) {
+func (g *Gateway) setPlacement(p placer.Placement) {
 	g.placement, g.placed = p, true
-	for len(g.routes) < shards {
+	for len(g.routes) < shardCount {
 		g.routes = append(g.routes, &route{shard: len(g.routes)})
 	}
-	g.routes = g.routes[:shards]
 	for _, r := range g.routes {
 		order := p.OrderIn(p.Self().Domain, shardKey(r.shard))
 		r.order = order[:min(2, len(order))]
@@ -88,7 +87,7 @@
 	if len(g.routes) == 0 {
 		return &route{}
 	}
-	return g.routes[shardOf(account, len(g.routes))]
+	return g.routes[shardOf(account)]
 }
 
 // outgoing is a request for tokens with the daemon that gets it.
@@ -104,7 +103,7 @@
 	}
 	byShard := map[int][]string{}
 	for _, name := range sortedBy(g.due) {
-		shard := shardOf(name, len(g.routes))
+		shard := shardOf(name)
 		byShard[shard] = append(byShard[shard], name)
 	}
 	var out []outgoing
--- a/limiter/simulation_test.go
+++ b/limiter/simulation_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"strconv"
 
 	"github.com/heatherhall/heatherhall/cataloger"
 	"github.com/heatherhall/heatherhall/placer"
@@ -29,6 +30,9 @@
 	*timekeeper.TimerQueue
 	random  *rand.Rand
 	daemons []*simDaemon
+	// many are accounts that zipf draws from in place of each daemon's account.
+	many []cataloger.Account
+	zipf *rand.Zipf
 	// loss and duplication are the percentages of messages.
 	loss, duplication int
 	maxDelay          timekeeper.Millis
@@ -62,7 +66,12 @@
 // start starts a daemon without any state.
 func (sim *simulation) start(d *simDaemon) {
 	d.run++
-	d.limits = New(sim.random.Int63(), Deps{Account: func(string) (cataloger.Account, bool) { return d.account, true }})
+	d.limits = New(sim.random.Int63(), Deps{Account: func(name string) (cataloger.Account, bool) {
+		if i, err := strconv.Atoi(name); err == nil && i < len(sim.many) {
+			return sim.many[i], true
+		}
+		return d.account, true
+	}})
 	sim.place(d, nil)
 }
 
@@ -103,7 +112,11 @@
 		sim.offered++
 		sim.reference.refill(sim.Now(), float64(d.account.RateLimit), max(minCapacity, float64(d.account.Burst)/2))
 		sim.referenceRefused += 1 - sim.reference.take(1, 0)
-		sim.decide(d.limits.Admit(sim.Now(), fmt.Sprint(sim.operations), d.account))
+		account := d.account
+		if sim.many != nil {
+			account = sim.many[sim.zipf.Uint64()]
+		}
+		sim.decide(d.limits.Admit(sim.Now(), fmt.Sprint(sim.operations), account))
 		sim.pump(d)
 	}
 	sim.After(timekeeper.Millis(sim.random.Int63n(2*int64(d.interval))+1), func() { sim.arrive(d) })
@@ -217,13 +230,23 @@
 	return nil
 }
 
+// busiest returns the most messages that a daemon has sent and received since the start.
+func (sim *simulation) busiest() int64 {
+	most := int64(0)
+	for _, d := range sim.daemons {
+		stats := d.limits.Stats()
+		most = max(most, 2*(stats.Sent+stats.Received))
+	}
+	return most
+}
+
 func (sim *simulation) pass(d timekeeper.Millis) {
 	sim.RunUntil(sim.Now()+d, nil)
 }
 
 // coordinator returns the daemon that is the first of a domain in the order.
 func (sim *simulation) coordinator(domain string) *simDaemon {
-	return sim.find(sim.daemons[0].limits.placement.OrderIn(domain, shardKey(0))[0].Name)
+	return sim.find(sim.daemons[0].limits.placement.OrderIn(domain, shardKey(shardOf(sim.daemons[0].account.Name)))[0].Name)
 }
 
 // excess returns by how much the operations of the worst 5 s, among those that begin
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -156,15 +156,12 @@
 	return s.minCapacity()
 }
 
-func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement, shards int) {
+func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement) {
 	c.placement = p
 	domains := p.Domains()
 	own := p.Self().Domain
-	if len(c.shards) != shards {
-		c.shards = nil
-		for i := range shards {
-			c.shards = append(c.shards, &shard{coord: c, number: i, accounts: map[string]*tally{}, peers: map[string]*peer{}})
-		}
+	for i := len(c.shards); i < shardCount; i++ {
+		c.shards = append(c.shards, &shard{coord: c, number: i, accounts: map[string]*tally{}, peers: map[string]*peer{}})
 	}
 	for _, s := range c.shards {
 		s.listed = p.OrderIn(own, shardKey(s.number))
--- a/multiplexer/admission.go
+++ b/multiplexer/admission.go
@@ -67,9 +67,13 @@
 	}
 }
 
-// charge takes a token for a job that runs again after it may have run.
+// charge takes a token for a job that is about to run, or to be forwarded, although it
+// may have run before.
 func (m *Multiplexer) charge(now timekeeper.Millis, j *job) {
-	if account, found := m.catalog.Account(j.account); found && account.RateLimit > 0 && m.deps.Charge != nil {
+	if !j.mayHaveRun || m.deps.Charge == nil {
+		return
+	}
+	if account, found := m.catalog.Account(j.account); found && account.RateLimit > 0 {
 		m.deps.Charge(now, account)
 	}
 }
--- a/multiplexer/answer.go
+++ b/multiplexer/answer.go
@@ -360,9 +360,6 @@
 		observer.F("server", s.ID), observer.F("code", a.Code.String()), observer.F("attempts", j.attempts), observer.F("floor", j.floor.String()),
 		observer.F("position", a.Position.String()), observer.F("lag", int64(s.lag)), observer.F("budget", int(g.retryBudget)), observer.F("left", int64(j.deadline-now)),
 	}})
-	if mayHaveRun {
-		g.mux.charge(now, j)
-	}
 	j.conn = nil
 	g.enqueue(now, j)
 }
--- a/multiplexer/carrier.go
+++ b/multiplexer/carrier.go
@@ -218,6 +218,7 @@
 	if j.statement.Kind == KindExecute {
 		r.Shape = s.prepared[j.statement.Name].shape
 	}
+	m.charge(now, j)
 	j.step, j.carrier, j.sent = stepForwarded, carrier, now
 	j.attempts++
 	if j.started == 0 {
@@ -325,7 +326,6 @@
 			j.group.reject(now, j, defaultRetryDelay, reason)
 			return
 		}
-		m.charge(now, j)
 		m.forwardElsewhere(now, j)
 	}
 }
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -494,6 +494,7 @@
 	}
 	j.step = stepRun
 	j.sent = now
+	g.mux.charge(now, j)
 	g.send(now, c, []Statement{j.serverStatement()})
 }
 
