--- a/decider/limit.go
+++ b/decider/limit.go
@@ -1,45 +1,32 @@
 package decider
 
 import (
+	"github.com/heatherhall/heatherhall/limiter"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/scheduler"
 	"github.com/heatherhall/heatherhall/timekeeper"
 )
 
-// bucket is a customer's token bucket at this gateway daemon. Its capacity is
-// the statements of one second. Tokens are thousandths of a statement, so that
-// the refill of a millisecond is a whole number.
-type bucket struct {
-	tokens     int64
-	refilledAt timekeeper.Millis
-}
-
-const (
-	// tokenScale is the number of tokens that one statement costs.
-	tokenScale = 1000
-	// bucketIdleTimeout is how long an unused bucket is kept.
-	bucketIdleTimeout timekeeper.Millis = 60_000
-)
+// bucketIdleTimeout is how long an unused token bucket is kept.
+const bucketIdleTimeout timekeeper.Millis = 60_000
 
-// takeToken takes one statement's tokens from the customer's bucket and returns
-// 0. If there are too few it takes none and returns the time until there are
-// enough.
+// takeToken takes the token of one statement from the customer's bucket at this gateway
+// daemon and returns 0. If there is none it returns the time until there is one. The
+// bucket's capacity is the statements of one second.
 func (n *Node) takeToken(now timekeeper.Millis, customer string, plan planner.Plan) timekeeper.Millis {
 	if plan.RateLimit <= 0 {
 		return 0
 	}
-	rate := int64(plan.RateLimit)
+	rate := float64(plan.RateLimit)
 	b := n.buckets[customer]
 	if b == nil {
-		b = &bucket{tokens: rate * tokenScale, refilledAt: now}
+		b = &limiter.Bucket{Tokens: rate, RefilledAt: now}
 		n.buckets[customer] = b
 	}
-	b.tokens = min(rate*tokenScale, b.tokens+rate*int64(now-b.refilledAt))
-	b.refilledAt = now
-	if b.tokens < tokenScale {
-		return max(1, timekeeper.Millis((tokenScale-b.tokens)/rate))
+	b.Refill(now, rate, rate)
+	if b.Take(1, 0) == 0 {
+		return b.Due(1, rate)
 	}
-	b.tokens -= tokenScale
 	return 0
 }
 
@@ -78,7 +65,7 @@
 		}
 	}
 	for customer, b := range n.buckets {
-		if now-b.refilledAt > bucketIdleTimeout {
+		if now-b.RefilledAt > bucketIdleTimeout {
 			delete(n.buckets, customer)
 		}
 	}
--- a/decider/node.go
+++ b/decider/node.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/heatherhall/heatherhall/dispatcher"
+	"github.com/heatherhall/heatherhall/limiter"
 	"github.com/heatherhall/heatherhall/planner"
 	"github.com/heatherhall/heatherhall/pooler"
 	"github.com/heatherhall/heatherhall/timekeeper"
@@ -29,7 +30,7 @@
 	pending     map[string]*pending
 	// requestIDs holds the id of each client's pending request.
 	requestIDs map[uint64]string
-	buckets    map[string]*bucket
+	buckets    map[string]*limiter.Bucket
 	// retryBudgets is the number of retries left by customer.
 	retryBudgets map[string]float64
 	// refusals is the refusal cache: the time until which this daemon refuses
@@ -64,7 +65,7 @@
 		homes:        map[string]*home{},
 		pending:      map[string]*pending{},
 		requestIDs:   map[uint64]string{},
-		buckets:      map[string]*bucket{},
+		buckets:      map[string]*limiter.Bucket{},
 		retryBudgets: map[string]float64{},
 		refusals:     map[refusalKey]timekeeper.Millis{},
 		unreachable:  map[string]timekeeper.Millis{},
--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -54,7 +54,7 @@
 // tally is what a coordinator knows about an account.
 type tally struct {
 	account cataloger.Account
-	bucket  bucket
+	bucket  Bucket
 	// counted is how many operations have arrived since countedAt, and demand the
 	// moving average of operations a second.
 	counted   int
@@ -184,7 +184,7 @@
 	}
 	t := s.accounts[name]
 	if t == nil {
-		t = &tally{gifts: map[string]*gift{}, bucket: bucket{tokens: s.startTokens(), refilledAt: max(s.grantsSince, now-idleRetention)}, countedAt: now}
+		t = &tally{gifts: map[string]*gift{}, bucket: Bucket{Tokens: s.startTokens(), RefilledAt: max(s.grantsSince, now-idleRetention)}, countedAt: now}
 		s.accounts[name] = t
 		t.loggedShare = s.base(s.coord.placement.Self().Domain)
 	}
@@ -224,11 +224,11 @@
 		rate = 0
 	}
 	capacity := max(s.minCapacity(), float64(t.account.Burst)*share/2)
-	if elapsed := now - t.bucket.refilledAt; elapsed < capacityTime {
+	if elapsed := now - t.bucket.RefilledAt; elapsed < capacityTime {
 		capacity = max(capacity, t.capacity-float64(t.account.Burst)/2*float64(elapsed)/float64(capacityTime))
 	}
 	t.capacity = min(capacity, max(s.minCapacity(), float64(t.account.Burst)/2))
-	t.bucket.refill(now, rate, t.capacity)
+	t.bucket.Refill(now, rate, t.capacity)
 	return rate
 }
 
@@ -287,17 +287,17 @@
 	t.count(now, item.Demand)
 	s.rebalance(now, t)
 	rate := s.refill(now, t)
-	t.bucket.tokens = max(t.bucket.tokens-float64(item.Charged), -float64(t.account.RateLimit))
-	out.Granted = t.bucket.take(item.Need, rate*float64(maxDebt)/1000)
-	out.Wait = t.bucket.due(0, rate)
-	if out.Granted == item.Need && t.bucket.tokens > 0 {
+	t.bucket.Tokens = max(t.bucket.Tokens-float64(item.Charged), -float64(t.account.RateLimit))
+	out.Granted = t.bucket.Take(item.Need, rate*float64(maxDebt)/1000)
+	out.Wait = t.bucket.Due(0, rate)
+	if out.Granted == item.Need && t.bucket.Tokens > 0 {
 		// Tokens that expire unused are lost to the account, so half of them stay here.
-		out.Ahead = t.bucket.take(min(item.Ahead, int(t.bucket.tokens/2)), 0)
+		out.Ahead = t.bucket.Take(min(item.Ahead, int(t.bucket.Tokens/2)), 0)
 	}
 	if out.Granted < item.Need && s.borrow(now, t, item.Need-out.Granted+int(t.demandNow(now)*float64(loanAhead)/1000)) {
 		out.Again = borrowTime
 	} else if out.Granted < item.Need {
-		out.Retry = max(1, t.bucket.due(1, rate))
+		out.Retry = max(1, t.bucket.Due(1, rate))
 		limit := max(1, float64(t.account.RateLimit)*max(s.share(now, t), 0.01))
 		out.Spread = timekeeper.Millis(min(float64(maxRetry), 1000*t.demandNow(now)/limit))
 	}
--- a/limiter/loan.go
+++ b/limiter/loan.go
@@ -91,12 +91,12 @@
 		}
 		rate := s.refill(now, t)
 		own := t.recentDemand(now)
-		spare := int(t.bucket.tokens - own*float64(loanReserve)/1000)
-		out := TokensGrant{Account: item.Account, Granted: t.bucket.take(min(item.Need, max(0, spare)), 0)}
+		spare := int(t.bucket.Tokens - own*float64(loanReserve)/1000)
+		out := TokensGrant{Account: item.Account, Granted: t.bucket.Take(min(item.Need, max(0, spare)), 0)}
 		if out.Granted < item.Need {
 			out.Retry = maxEmptyTime
 			if own < rate {
-				out.Retry = max(1, t.bucket.due(1+own*float64(loanReserve)/1000, rate-own))
+				out.Retry = max(1, t.bucket.Due(1+own*float64(loanReserve)/1000, rate-own))
 			}
 		}
 		a.Items = append(a.Items, out)
@@ -141,7 +141,7 @@
 		}
 		if s.granting {
 			s.refill(now, t)
-			t.bucket.tokens += float64(min(got.Granted, item.Need))
+			t.bucket.Tokens += float64(min(got.Granted, item.Need))
 		}
 	}
 }
--- a/limiter/route.go
+++ b/limiter/route.go
@@ -178,7 +178,7 @@
 // fallback is what a gateway admits of an account while it reaches no coordinator.
 type fallback struct {
 	active bool
-	bucket bucket
+	bucket Bucket
 }
 
 // decideAlone decides about an operation whose wait has ended without an answer.
@@ -189,17 +189,17 @@
 	}
 	perSecond := max(float64(l.account.RateLimit)*fallbackPart/float64(fallbackHosts*max(1, len(g.placement.Domains()))), 1000/float64(fallbackInterval))
 	f := &l.fallback
-	if f.bucket.refilledAt == 0 {
-		f.bucket = bucket{tokens: 1, refilledAt: now}
+	if f.bucket.RefilledAt == 0 {
+		f.bucket = Bucket{Tokens: 1, RefilledAt: now}
 	}
-	f.bucket.refill(now, perSecond, 1)
+	f.bucket.Refill(now, perSecond, 1)
 	if !f.active {
 		f.active = true
 		g.deps.Log(observer.Decision{Part: "account " + l.account.Name, Outcome: "fallback started", Inputs: []observer.Field{
 			observer.F("limit", l.account.RateLimit), observer.F("answered", int64(r.answeredAt)),
 		}})
 	}
-	if g.placed && g.placement.Rank("fallback/"+l.account.Name) < fallbackHosts && f.bucket.take(1, 0) == 1 {
+	if g.placed && g.placement.Rank("fallback/"+l.account.Name) < fallbackHosts && f.bucket.Take(1, 0) == 1 {
 		g.stats.add(l.account.Name, Count{Admitted: 1})
 		return Decision{ID: w.id}
 	}
--- a/limiter/simulation_test.go
+++ b/limiter/simulation_test.go
@@ -41,7 +41,7 @@
 	operations        int
 	// reference is a single bucket for all daemons with half of the burst, and
 	// referenceRefused counts what it would refuse.
-	reference        bucket
+	reference        Bucket
 	referenceRefused int
 	messages, bytes  int
 	largest          int
@@ -110,8 +110,8 @@
 	if sim.Now() >= d.frozenUntil {
 		sim.operations++
 		sim.offered++
-		sim.reference.refill(sim.Now(), float64(d.account.RateLimit), max(minCapacity, float64(d.account.Burst)/2))
-		sim.referenceRefused += 1 - sim.reference.take(1, 0)
+		sim.reference.Refill(sim.Now(), float64(d.account.RateLimit), max(minCapacity, float64(d.account.Burst)/2))
+		sim.referenceRefused += 1 - sim.reference.Take(1, 0)
 		account := d.account
 		if sim.many != nil {
 			account = sim.many[sim.zipf.Uint64()]
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -261,7 +261,7 @@
 func (s *shard) startGranting(now timekeeper.Millis) {
 	s.grantsSince, s.settled = now, false
 	for _, t := range s.accounts {
-		t.bucket = bucket{tokens: min(t.bucket.tokens, takeoverTokens), refilledAt: now}
+		t.bucket = Bucket{Tokens: min(t.bucket.Tokens, takeoverTokens), RefilledAt: now}
 	}
 }
 
