--- a/detourer/link_test.go
+++ b/detourer/link_test.go
@@ -154,13 +154,17 @@
 func TestMalformedMessagesOnALink(t *testing.T) {
 	c := startCarrier(t)
 	tests := map[string]string{
-		"not JSON":            "]]]]\n",
-		"no parameters":       `{"jsonrpc":"2.0","id":1,"method":"forward"}` + "\n",
-		"null":                `{"jsonrpc":"2.0","id":1,"method":"forward","params":null}` + "\n",
-		"wrong type":          `{"jsonrpc":"2.0","id":1,"method":"forward","params":{"work":"x"}}` + "\n",
-		"end without number":  `{"jsonrpc":"2.0","id":1,"method":"end","params":[]}` + "\n",
-		"unknown method":      `{"jsonrpc":"2.0","id":1,"method":"jump","params":{}}` + "\n",
-		"an answer to no one": `{"jsonrpc":"2.0","id":99,"result":{}}` + "\n",
+		"not JSON":             "]]]]\n",
+		"no parameters":        `{"jsonrpc":"2.0","id":1,"method":"forward"}` + "\n",
+		"null":                 `{"jsonrpc":"2.0","id":1,"method":"forward","params":null}` + "\n",
+		"wrong type":           `{"jsonrpc":"2.0","id":1,"method":"forward","params":{"work":"x"}}` + "\n",
+		"end without number":   `{"jsonrpc":"2.0","id":1,"method":"end","params":[]}` + "\n",
+		"tokens of no account": `{"jsonrpc":"2.0","id":1,"method":"tokens","params":{"items":[{"need":1}]}}` + "\n",
+		"negative need":        `{"jsonrpc":"2.0","id":1,"method":"tokens","params":{"items":[{"account":"a","need":-1}]}}` + "\n",
+		"too large a gift":     `{"jsonrpc":"2.0","id":1,"method":"demand","params":{"from":"d","entries":[{"account":"a","gift":2}]}}` + "\n",
+		"demand of nobody":     `{"jsonrpc":"2.0","id":1,"method":"demand","params":{}}` + "\n",
+		"unknown method":       `{"jsonrpc":"2.0","id":1,"method":"jump","params":{}}` + "\n",
+		"an answer to no one":  `{"jsonrpc":"2.0","id":99,"result":{}}` + "\n",
 	}
 	for name, message := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/limiter/gateway.go
+++ b/limiter/gateway.go
@@ -12,10 +12,8 @@
 	maxWait timekeeper.Millis = 150
 	// tokenLifetime is how long after the request a granted token may be used.
 	tokenLifetime timekeeper.Millis = 300
-	// aheadPeriod is for how long ahead tokens are requested for a busy account, and
-	// minAhead the demand in that period from which on an account counts as busy.
+	// aheadPeriod is for how long ahead tokens are requested for a busy account.
 	aheadPeriod timekeeper.Millis = 250
-	minAhead                      = 2
 	// measurePeriod is the period over which arrivals are counted.
 	measurePeriod timekeeper.Millis = 250
 	// maxRefusal is how long a gateway refuses operations on its own after a
@@ -28,6 +26,9 @@
 	rejectionLogInterval timekeeper.Millis = 1000
 )
 
+// minAhead is the demand in aheadPeriod from which on an account counts as busy.
+const minAhead = 2
+
 // waiter is an operation that waits for a token.
 type waiter struct {
 	id    string
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -108,8 +108,7 @@
 		return 0 // one that was never answered may have a list that lacks daemons
 	case roleFirst:
 	}
-	switch {
-	case now < s.holdUntil:
+	if now < s.holdUntil {
 		return halfPart
 	}
 	for _, d := range s.deputies {
@@ -320,6 +319,7 @@
 	for _, s := range c.shards {
 		s.dropDepartedPeers(now)
 		s.hosts.settle(now)
+		maps.DeleteFunc(s.deputies, func(_ string, d deputy) bool { return now-d.at > departureHold })
 		for _, p := range s.peers {
 			p.hosts.settle(now)
 		}
