--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -118,6 +118,8 @@
 	shards    []*shard
 	sweepAt   timekeeper.Millis
 	leaving   bool
+	// complete says that the hosts of all domains have been known.
+	complete bool
 }
 
 func newCoordinator(epoch int64, deps Deps) *Coordinator {
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -98,6 +98,9 @@
 
 // part returns which part of the domain's rate share this daemon may grant.
 func (s *shard) part(now timekeeper.Millis) float64 {
+	if !s.coord.complete {
+		return 0 // the number of domains is unknown
+	}
 	switch s.role {
 	case roleNone:
 		return 0
@@ -157,6 +160,7 @@
 
 func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement) {
 	c.placement = p
+	c.complete = c.complete || !p.Partial()
 	domains := p.Domains()
 	own := p.Self().Domain
 	for i := len(c.shards); i < shardCount; i++ {
