--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -98,6 +98,9 @@
 
 // part returns which part of the domain's rate share this daemon may grant.
 func (s *shard) part(now timekeeper.Millis) float64 {
+	if !s.coord.complete {
+		return 0 // the number of domains is unknown
+	}
 	switch s.role {
 	case roleNone:
 		return 0
@@ -108,8 +111,7 @@
 		return 0 // one that was never answered may have a list that lacks daemons
 	case roleFirst:
 	}
-	switch {
-	case now < s.holdUntil:
+	if now < s.holdUntil {
 		return halfPart
 	}
 	for _, d := range s.deputies {
@@ -156,15 +158,13 @@
 	return s.minCapacity()
 }
 
-func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement, shards int) {
+func (c *Coordinator) setPlacement(now timekeeper.Millis, p placer.Placement) {
 	c.placement = p
+	c.complete = c.complete || !p.Partial()
 	domains := p.Domains()
 	own := p.Self().Domain
-	if len(c.shards) != shards {
-		c.shards = nil
-		for i := range shards {
-			c.shards = append(c.shards, &shard{coord: c, number: i, accounts: map[string]*tally{}, peers: map[string]*peer{}})
-		}
+	for i := len(c.shards); i < shardCount; i++ {
+		c.shards = append(c.shards, &shard{coord: c, number: i, accounts: map[string]*tally{}, peers: map[string]*peer{}})
 	}
 	for _, s := range c.shards {
 		s.listed = p.OrderIn(own, shardKey(s.number))
@@ -264,7 +264,7 @@
 func (s *shard) startGranting(now timekeeper.Millis) {
 	s.grantsSince, s.settled = now, false
 	for _, t := range s.accounts {
-		t.bucket = bucket{tokens: min(t.bucket.tokens, takeoverTokens), refilledAt: now}
+		t.bucket = Bucket{Tokens: min(t.bucket.Tokens, takeoverTokens), RefilledAt: now}
 	}
 }
 
@@ -323,6 +323,7 @@
 	for _, s := range c.shards {
 		s.dropDepartedPeers(now)
 		s.hosts.settle(now)
+		maps.DeleteFunc(s.deputies, func(_ string, d deputy) bool { return now-d.at > departureHold })
 		for _, p := range s.peers {
 			p.hosts.settle(now)
 		}
