--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,9 +35,9 @@
 
 // Placement is a daemon's view of the live daemons. It is immutable.
 type Placement struct {
-	self    Host
-	hosts   []Host
-	local   []Host
+	self  Host
+	hosts []Host
+	local []Host
 	// domains is the number of live hosts by failure domain.
 	domains map[string]int
 	partial bool
