limiter: grant for the gateways that ask, and let spares grant tokens

A coordinator that lost its deputy granted half of the share for 20 s.

Gateways now ask at least every 150 ms, and a daemon grants the part of the share that its gateways make up of the domain's hosts. A gateway counts from 400 ms after its first request and for 400 ms after its last, so the parts of daemons that grant at the same time add up to 1. Up to three more daemons in order grant 30 percent of the base share when neither of the first two answers them.

--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -260,8 +260,9 @@
 		return TokensAnswer{Unavailable: true}
 	}
 	s := c.shards[r.Shard]
+	s.asked(now, r.From)
 	s.updateGranting(now)
-	if s.part(now) == 0 {
+	if !s.mayGrant(now) {
 		a := TokensAnswer{Unavailable: true}
 		if s.role == roleNone && len(s.order) > 0 {
 			a.Host, a.Address = s.order[0].Name, s.order[0].Address
@@ -361,7 +362,7 @@
 		return
 	}
 	switch {
-	case s.part(now) < 1: // the deputy may be granting what would be given
+	case !s.deputyInTouch(now): // the deputy may be granting what would be given
 	case s.alone():
 		g.given, g.planned = given, given
 		g.charged = max(g.charged, given)
--- a/limiter/gateway.go
+++ b/limiter/gateway.go
@@ -256,6 +256,7 @@
 	delete(g.inFlight, number)
 	r.number, r.answeredAt = 0, now
 	delete(r.refused, r.to.Name)
+	delete(r.losses, r.to.Name)
 	for _, item := range a.Items {
 		l := g.accounts[item.Account]
 		if l == nil {
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -19,8 +19,10 @@
 	Shard  int    `json:"shard"`
 	// Domain is that of a coordinator that asks another domain's for tokens; empty if a
 	// gateway asks its own.
-	Domain string       `json:"domain,omitempty"`
-	Items  []TokensItem `json:"items"`
+	Domain string `json:"domain,omitempty"`
+	// From is the gateway that asks.
+	From  string       `json:"from,omitempty"`
+	Items []TokensItem `json:"items"`
 }
 
 // TokensItem asks for the tokens of one account.
@@ -75,6 +77,8 @@
 	// the sender's.
 	Claim   bool   `json:"claim,omitempty"`
 	Address string `json:"address,omitempty"`
+	// Watch marks a message of a daemon that follows the deputy in the order.
+	Watch bool `json:"watch,omitempty"`
 	// Ping marks a message of the deputy, and Granting says that it grants tokens.
 	Ping     bool `json:"ping,omitempty"`
 	Granting bool `json:"granting,omitempty"`
--- a/limiter/ping.go
+++ b/limiter/ping.go
@@ -34,6 +34,10 @@
 				ping.State = s.state()
 			}
 			out = append(out, Message{To: s.order[0], Demand: ping})
+		case s.watches(now):
+			for _, h := range s.order[:2] {
+				out = append(out, Message{To: h, Demand: s.ping(DemandRequest{Watch: true})})
+			}
 		case s.role == roleFirst && len(s.order) > 1 && now-s.deputies[s.order[1].Name].at > deputyDelay:
 			out = append(out, Message{To: s.order[1], Demand: s.ping(DemandRequest{Claim: true, Address: c.placement.Self().Address})})
 		}
@@ -92,7 +96,7 @@
 // stateKnown handles the deputy's confirmation of a state: gifts that were in it can be
 // announced, and messages that went into it confirmed.
 func (s *shard) stateKnown(now timekeeper.Millis, number int64) {
-	if number != s.stateNumber || s.stateHeard == nil || s.part(now) < 1 {
+	if number != s.stateNumber || s.stateHeard == nil || !s.deputyInTouch(now) {
 		return
 	}
 	for domain, heard := range s.stateHeard {
@@ -157,6 +161,11 @@
 	if a.Host != from {
 		s.claim(now, placer.Host{Name: a.Host, Domain: c.placement.Self().Domain, Address: a.Address})
 	}
+	if s.role == roleSpare && from == s.order[1].Name || s.role == roleSpare && from == s.order[0].Name {
+		s.answeredAt = now
+		s.updateGranting(now)
+		return
+	}
 	if s.role != roleSecond || from != s.order[0].Name {
 		return
 	}
--- a/limiter/route.go
+++ b/limiter/route.go
@@ -13,9 +13,11 @@
 	// requestInterval is the shortest time between two requests to a coordinator.
 	requestInterval timekeeper.Millis = 20
 	// lostPause and unavailablePause are how long a daemon that did not answer, or that
-	// grants no tokens, is not asked.
+	// grants no tokens, is not asked. lostPause doubles with each loss in a row, at most
+	// maxLossDoublings times: each attempt costs waiting operations requestTimeout.
 	lostPause        timekeeper.Millis = 500
 	unavailablePause timekeeper.Millis = 40
+	maxLossDoublings                   = 3
 	// suggestionTime is how long a gateway asks the daemon that another one has named
 	// instead of the first in its own order.
 	suggestionTime timekeeper.Millis = 3000
@@ -33,8 +35,10 @@
 	shard int
 	// order are the daemons that may grant the shard's tokens, the coordinator first.
 	order []placer.Host
-	// refused says until when a daemon is not asked, by name.
+	// refused says until when a daemon is not asked, and losses how often in a row it did
+	// not answer, by name.
 	refused map[string]timekeeper.Millis
+	losses  map[string]int
 	// suggested is asked first until suggestedUntil.
 	suggested      placer.Host
 	suggestedUntil timekeeper.Millis
@@ -72,7 +76,7 @@
 	}
 	for _, r := range g.routes {
 		order := p.OrderIn(p.Self().Domain, shardKey(r.shard))
-		r.order = order[:min(2, len(order))]
+		r.order = order[:min(maxCoordinators, len(order))]
 		if r.logged != r.order[0].Name {
 			g.deps.Log(observer.Decision{Part: "limits", Outcome: "coordinator changed", Inputs: []observer.Field{
 				observer.F("shard", r.shard), observer.F("before", r.logged), observer.F("coordinator", r.order[0].Name), observer.F("hosts", p.HostCount()),
@@ -98,7 +102,7 @@
 
 // requests returns the requests that are due, at most one for each coordinator.
 func (g *Gateway) requests(now timekeeper.Millis) []outgoing {
-	if len(g.due) == 0 || !g.placed {
+	if !g.placed {
 		return nil
 	}
 	byShard := map[int][]string{}
@@ -107,13 +111,16 @@
 		byShard[shard] = append(byShard[shard], name)
 	}
 	var out []outgoing
-	for _, shard := range sortedBy(byShard) {
-		r := g.routes[shard]
+	for shard, r := range g.routes {
+		keepAlive := now-r.sentAt >= askPeriod
+		if len(byShard[shard]) == 0 && !keepAlive {
+			continue
+		}
 		to := r.target(now)
 		if r.number != 0 || to.Name == "" || now < r.sentAt+requestInterval && to.Name != g.placement.Self().Name && to.Name == r.to.Name {
 			continue
 		}
-		if items := g.items(now, byShard[shard]); len(items) > 0 {
+		if items := g.items(now, byShard[shard]); len(items) > 0 || keepAlive {
 			g.numbers++
 			r.number, r.to, r.sentAt = g.numbers, to, now
 			r.asked = r.asked[:0]
@@ -121,7 +128,7 @@
 				r.asked = append(r.asked, item.Account)
 			}
 			g.inFlight[r.number] = r
-			out = append(out, outgoing{to: to, request: TokensRequest{Number: r.number, Shard: shard, Items: items}})
+			out = append(out, outgoing{to: to, request: TokensRequest{Number: r.number, Shard: shard, From: g.placement.Self().Name, Items: items}})
 		}
 	}
 	return out
@@ -162,7 +169,11 @@
 	delete(g.inFlight, r.number)
 	r.number = 0
 	if r.refused == nil {
-		r.refused = map[string]timekeeper.Millis{}
+		r.refused, r.losses = map[string]timekeeper.Millis{}, map[string]int{}
+	}
+	if pause == lostPause {
+		pause <<= min(r.losses[r.to.Name], maxLossDoublings)
+		r.losses[r.to.Name]++
 	}
 	r.refused[r.to.Name] = now + pause
 	for _, name := range r.asked {
--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -18,6 +18,9 @@
 	roleFirst
 	// roleSecond is that of the deputy.
 	roleSecond
+	// roleSpare is that of the daemons after the deputy, which grant tokens to gateways
+	// that reach neither of the first two.
+	roleSpare
 )
 
 const (
@@ -27,11 +30,23 @@
 	// between the domains.
 	statePeriod timekeeper.Millis = 500
 	// deputyDelay is the silence after which coordinator and deputy presume that they
-	// are cut off from each other. Each then grants half of the rate share, because the
-	// other may serve part of the gateways.
+	// are cut off from each other. Each then grants the part of the rate share that the
+	// gateways which ask it make up of the domain's hosts, because the other may serve the
+	// rest.
 	deputyDelay timekeeper.Millis = 300
-	// halfPart is what each of them grants then.
-	halfPart = 0.5
+	// askPeriod is the longest time between two requests of a gateway to its coordinator,
+	// and askedPeriod how long it counts as one of that daemon's gateways after each. It
+	// begins to count after the same time, since another daemon may still count it.
+	askPeriod   timekeeper.Millis = 150
+	askedPeriod timekeeper.Millis = 400
+	// sparePart is the part of its rate share that a spare grants.
+	sparePart = 0.3
+	// spareDelay is for how long the first two must not have answered a spare that asks
+	// them, and watchTime how long it goes on asking after a gateway has asked it.
+	spareDelay timekeeper.Millis = 400
+	watchTime  timekeeper.Millis = 3000
+	// maxCoordinators is how many daemons of the order may grant tokens.
+	maxCoordinators = 5
 	// departureHold is how long after a daemon has disappeared from the list of live
 	// hosts it may still grant tokens: that long it may use servers without reaching
 	// the store. It is also the time after which the daemons' lists agree.
@@ -60,6 +75,11 @@
 	answeredAt  timekeeper.Millis
 	firstLeaves bool
 	nextPing    timekeeper.Millis
+	// askedAt is when each gateway last asked, and askedSince since when it has without a
+	// longer pause. spareSince is since when a spare watches
+	// the daemons before it, 0 if it does not.
+	askedAt, askedSince map[string]timekeeper.Millis
+	spareSince          timekeeper.Millis
 	// claimant is a daemon that precedes this one and that its list of hosts lacked at
 	// claimedAt.
 	claimant  placer.Host
@@ -96,39 +116,121 @@
 	leaves bool
 }
 
-// part returns which part of the domain's rate share this daemon may grant.
+// part returns which part of the domain's rate share this daemon may grant: that of the
+// hosts whose gateways ask it. The parts of daemons that grant tokens at the same time
+// so add up to 1, whoever reaches whom.
 func (s *shard) part(now timekeeper.Millis) float64 {
+	if !s.mayGrant(now) {
+		return 0
+	}
+	part := s.askedPart(now)
+	if s.role == roleSpare {
+		part *= sparePart // it does not know what other domains use of the rate share
+	}
+	return part
+}
+
+// mayGrant reports whether this daemon may grant tokens.
+func (s *shard) mayGrant(now timekeeper.Millis) bool {
 	if !s.coord.complete {
-		return 0 // the number of domains is unknown
+		return false // the number of domains is unknown
 	}
 	switch s.role {
 	case roleNone:
-		return 0
+		return false
 	case roleSecond:
 		if s.answeredAt > 0 && now-s.answeredAt > deputyDelay || now-s.since > departureHold && s.answeredAt == 0 {
-			return halfPart
+			return true
 		}
-		return 0 // one that was never answered may have a list that lacks daemons
+		return false // one that was never answered may have a list that lacks daemons
+	case roleSpare:
+		if s.spareSince > 0 && now-max(s.spareSince, s.answeredAt) > spareDelay {
+			return true
+		}
+		return false
 	case roleFirst:
 	}
 	if now < s.holdUntil {
-		return halfPart
+		return true
 	}
 	for _, d := range s.deputies {
 		if !d.resigns && (d.grants || now-d.at > deputyDelay) && now-d.at < departureHold {
-			return halfPart
+			return true
 		}
 	}
 	if len(s.order) < 2 {
-		return 1
+		return true
 	}
 	switch d, called := s.deputies[s.order[1].Name]; {
 	case called && (now-d.at <= deputyDelay || d.leaves):
-		return 1
+		return true
 	case called, s.promoted, now-s.since > departureHold:
-		return halfPart
+		return true
+	}
+	return false
+}
+
+// deputyInTouch reports whether no deputy can be granting tokens.
+func (s *shard) deputyInTouch(now timekeeper.Millis) bool {
+	if s.role != roleFirst || now < s.holdUntil {
+		return false
+	}
+	for _, d := range s.deputies {
+		if !d.resigns && (d.grants || now-d.at > deputyDelay) && now-d.at < departureHold {
+			return false
+		}
 	}
-	return 0
+	if len(s.order) < 2 {
+		return true
+	}
+	d, called := s.deputies[s.order[1].Name]
+	return called && (now-d.at <= deputyDelay || d.leaves)
+}
+
+// asked records that a gateway has asked for tokens.
+func (s *shard) asked(now timekeeper.Millis, gateway string) {
+	if gateway == "" {
+		return
+	}
+	if s.askedAt == nil {
+		s.askedAt, s.askedSince = map[string]timekeeper.Millis{}, map[string]timekeeper.Millis{}
+	}
+	if now-s.askedAt[gateway] > askedPeriod {
+		s.askedSince[gateway] = now
+	}
+	s.askedAt[gateway] = now
+	if s.role == roleSpare && s.spareSince == 0 {
+		s.spareSince, s.answeredAt = now, 0
+	}
+}
+
+// askedPart returns what part of the domain's hosts has asked this daemon of late.
+func (s *shard) askedPart(now timekeeper.Millis) float64 {
+	asking := 0
+	for gateway, at := range s.askedAt {
+		switch {
+		case now-at > departureHold:
+			delete(s.askedAt, gateway)
+			delete(s.askedSince, gateway)
+		case now-at <= askedPeriod && now-s.askedSince[gateway] >= askedPeriod:
+			asking++
+		}
+	}
+	return min(1, float64(asking)/float64(max(s.hosts.count, 1)))
+}
+
+// watches reports whether a spare asks the daemons before it for a sign of life.
+func (s *shard) watches(now timekeeper.Millis) bool {
+	if s.role != roleSpare || s.spareSince == 0 {
+		return false
+	}
+	for _, at := range s.askedAt {
+		if now-at < watchTime {
+			return true
+		}
+	}
+	s.spareSince = 0
+	return false
 }
 
 // alone reports whether no deputy could grant tokens.
@@ -211,6 +313,8 @@
 		next = roleFirst
 	case len(order) > 1 && order[1].Name == self:
 		next = roleSecond
+	case slices.ContainsFunc(order[:min(maxCoordinators, len(order))], func(h placer.Host) bool { return h.Name == self }):
+		next = roleSpare
 	}
 	firstChanged := roleBefore != roleNone && before[0].Name != order[0].Name
 	if roleBefore == roleSecond && firstChanged {
@@ -222,7 +326,7 @@
 		s.resignTo, s.resignedAt = before[0], now
 	}
 	if next != roleBefore || firstChanged {
-		s.since, s.answeredAt, s.firstLeaves = now, 0, false
+		s.since, s.answeredAt, s.firstLeaves, s.spareSince = now, 0, false, 0
 	}
 	s.order, s.role = order, next
 	if next != roleBefore {
@@ -244,16 +348,16 @@
 // updateGranting records whether this daemon grants tokens. One that begins to starts
 // with nearly empty buckets.
 func (s *shard) updateGranting(now timekeeper.Millis) {
-	grants := s.part(now) > 0
+	grants := s.mayGrant(now)
 	if grants == s.granting {
 		return
 	}
 	s.granting = grants
 	if grants {
-		s.takenOver = s.takenOver || s.role == roleSecond
+		s.takenOver = s.takenOver || s.role != roleFirst
 		s.startGranting(now)
 	}
-	if s.role == roleSecond {
+	if s.role == roleSecond || s.role == roleSpare {
 		s.coord.deps.Log(observer.Decision{Part: "limits", Outcome: "deputy grants tokens", Inputs: []observer.Field{
 			observer.F("shard", s.number), observer.F("granting", grants), observer.F("coordinator", s.order[0].Name), observer.F("answered", int64(now-s.answeredAt)),
 		}})
