Check a catalog before it is sent

Cause: operators learned only from the daemons' logs that a catalog was rejected, that an account was skipped, or that a change cut clients. Change: heatherhall-edge check FILE [--against FILE] reports what the daemons' decoder rejects or skips, entries without effect, limits that contradict each other and differences from the version in force. The findings are a decision without I/O in package checker.

--- a/boundary_test.go
+++ b/boundary_test.go
@@ -9,7 +9,7 @@
 // decisionPackages are the packages that compute the daemon's decisions. They do
 // no I/O and read no clock.
 var decisionPackages = []string{
-	"acknowledger", "balancer", "cataloger", "decider", "deduplicator", "dispatcher", "elector", "limiter",
+	"acknowledger", "balancer", "cataloger", "checker", "decider", "deduplicator", "dispatcher", "elector", "limiter",
 	"multiplexer", "placer", "planner", "pooler", "promoter", "rationer", "router", "scheduler", "sequencer", "sessioner", "shedder", "watcher",
 }
 
--- a/cmd/heatherhall-edge/main.go
+++ b/cmd/heatherhall-edge/main.go
@@ -1,9 +1,10 @@
-// Command heatherhall-edge runs a heatherhall daemon on the users' platform, and
-// explains requests from the daemons' logs.
+// Command heatherhall-edge runs a heatherhall daemon on the users' platform,
+// explains requests from the daemons' logs and checks the operators' catalog.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -44,10 +45,14 @@
 			Usage:     "print the log lines that explain a request, from daemons' logs in files or standard input",
 			ArgsUsage: "REQUEST [FILE...]",
 			Action:    explain,
-		}},
+		}, checkCommand()},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "heatherhall-edge:", err)
+		var exit cli.ExitCoder
+		if errors.As(err, &exit) {
+			os.Exit(exit.ExitCode())
+		}
 		os.Exit(1)
 	}
 }
