Check: word the meaning of max-age-zero more exactly

Cause: the text said that no replica meets a greatest age of 0; one without lag does. Change: the explanation says that replicas can hardly serve such reads.

--- a/checker/finding.go
+++ b/checker/finding.go
@@ -87,7 +87,7 @@
 	CodeTimeoutShort:     {SeverityWarning, "The statement timeout is below the latency objective, so statements that meet the objective time out.", "Raise the timeout, or lower the objective."},
 	CodeIdleShort:        {SeverityWarning, "Idle transactions are rolled back sooner than a statement times out.", "Raise the timeout of idle transactions to the longest statement timeout or more."},
 	CodeConnectionsFew:   {SeverityWarning, "The connection limit does not exceed the connections reserved on each server, which leaves none for statements.", "Raise the limit."},
-	CodeMaxAgeZero:       {SeverityWarning, "Reads of bounded staleness may have a greatest age of 0, which no replica meets.", "Set the greatest age, or another consistency."},
+	CodeMaxAgeZero:       {SeverityWarning, "Reads of bounded staleness may have a greatest age of 0, so replicas can hardly serve them.", "Set the greatest age, or another consistency."},
 	CodeVersionNotHigher: {SeverityWarning, "Daemons ignore a version that is not higher than the one in force.", "Raise the version."},
 	CodeDatabaseGone:     {SeverityWarning, "The database is dropped; its clients are cut.", "Make sure that no client uses it."},
 	CodeDatabaseClosed:   {SeverityWarning, "The database becomes closed; its clients without a key of an account are cut.", "Make sure that all its clients have keys."},
