--- a/limiter/coordinator.go
+++ b/limiter/coordinator.go
@@ -137,6 +137,10 @@
 	standing
 }
 
+// burstPart is the part of an account's burst that all buckets together hold. The rest of
+// what may run in a window covers tokens that were granted ahead, and takeovers.
+const burstPart = 0.75
+
 // hostCount is the number of a domain's hosts. It falls only after a time, because the
 // daemons' lists differ for a while.
 type hostCount struct {
@@ -225,11 +229,11 @@
 	if s.unsettled(now) {
 		rate = 0
 	}
-	capacity := max(s.minCapacity(), float64(t.account.Burst)*share/2)
+	capacity := max(s.minCapacity(), burstPart*float64(t.account.Burst)*share)
 	if elapsed := now - t.bucket.RefilledAt; elapsed < capacityTime {
-		capacity = max(capacity, t.capacity-float64(t.account.Burst)/2*float64(elapsed)/float64(capacityTime))
+		capacity = max(capacity, t.capacity-burstPart*float64(t.account.Burst)*float64(elapsed)/float64(capacityTime))
 	}
-	t.capacity = min(capacity, max(s.minCapacity(), float64(t.account.Burst)/2))
+	t.capacity = min(capacity, max(s.minCapacity(), burstPart*float64(t.account.Burst)))
 	t.bucket.Refill(now, rate, t.capacity)
 	return rate
 }
--- a/multiplexer/account.go
+++ b/multiplexer/account.go
@@ -14,6 +14,10 @@
 // is sent to another daemon.
 const maxCatalogAge timekeeper.Millis = 3000
 
+// denialLogInterval is the time between two log lines about refused keys. Clients whose
+// key was revoked may try again and again.
+const denialLogInterval timekeeper.Millis = 200
+
 // ConfirmCatalog records that the current catalog was the newest at readAt.
 func (m *Multiplexer) ConfirmCatalog(readAt timekeeper.Millis) {
 	m.catalogReadAt = max(m.catalogReadAt, readAt)
@@ -47,9 +51,14 @@
 		// A daemon that knows no accounts.
 		a = Answer{Code: CodeNotRun, Text: "the database is closed to the daemon", RetryAfter: defaultRetryDelay}
 	}
+	if m.denials++; now-m.denialLoggedAt < denialLogInterval {
+		return "", a
+	}
+	m.denialLoggedAt = now
 	m.deps.Log(Decision{Part: "account", Outcome: "refused: " + a.Text, Inputs: []observer.Field{
-		observer.F("database", d.Name), observer.F("key", s.key.Fingerprint()), observer.F("catalog", m.catalog.Version), observer.F("age", int64(now-m.catalogReadAt)),
+		observer.F("database", d.Name), observer.F("key", s.key.Fingerprint()), observer.F("catalog", m.catalog.Version), observer.F("age", int64(now-m.catalogReadAt)), observer.F("count", m.denials),
 	}})
+	m.denials = 0
 	return "", a
 }
 
--- a/multiplexer/multiplexer.go
+++ b/multiplexer/multiplexer.go
@@ -30,10 +30,14 @@
 	catalogLoaded bool
 	// catalogReadAt is as of when the catalog is known to be the newest.
 	catalogReadAt timekeeper.Millis
-	sessions      map[uint64]*session
-	groups        map[string]*group
-	conns         map[pooler.Conn]*conn
-	placement     placer.Placement
+	// denials counts the refusals of keys since the last log line, and denialLoggedAt is
+	// when that was written.
+	denials        int
+	denialLoggedAt timekeeper.Millis
+	sessions       map[uint64]*session
+	groups         map[string]*group
+	conns          map[pooler.Conn]*conn
+	placement      placer.Placement
 	// placedAt is when the first placement was set, and membershipSettled is set
 	// once it is membershipSettleTime ago.
 	placedAt          timekeeper.Millis
