limiter: let spares grant 80 percent of their rate share

With 30 percent, a domain whose first two coordinators were cut off refused accounts far below their limits.

--- a/limiter/standing.go
+++ b/limiter/standing.go
@@ -40,7 +40,7 @@
 	askPeriod   timekeeper.Millis = 150
 	askedPeriod timekeeper.Millis = 400
 	// sparePart is the part of its rate share that a spare grants.
-	sparePart = 0.3
+	sparePart = 0.8
 	// spareDelay is for how long the first two must not have answered a spare that asks
 	// them, and watchTime how long it goes on asking after a gateway has asked it.
 	spareDelay timekeeper.Millis = 400
