Return the token of an operation that did not run

While a primary was missing, clients tried each operation three times, and each try took a token before it was refused: in a domain that was cut off about 430 of 794 refusals in two seconds were for want of tokens. A token is now returned when its operation is answered as not run within the token's lifetime.

--- a/limiter/gateway.go
+++ b/limiter/gateway.go
@@ -199,6 +199,25 @@
 	g.due[account.Name] = l
 }
 
+// refund gives a token back: to an operation that waits for one, or for the next one.
+func (g *Gateway) refund(now, admittedAt timekeeper.Millis, account cataloger.Account) {
+	l := g.accounts[account.Name]
+	if l == nil || now >= admittedAt+tokenLifetime {
+		return
+	}
+	for i, w := range l.waiting {
+		if w.due == 0 {
+			l.waiting = append(l.waiting[:i:i], l.waiting[i+1:]...)
+			if i < l.asked {
+				l.asked--
+			}
+			g.admitWaiting(w)
+			return
+		}
+	}
+	l.grants = append(l.grants, grant{count: 1, expires: admittedAt + tokenLifetime})
+}
+
 func (g *Gateway) cancel(id, account string) {
 	l := g.accounts[account]
 	if l == nil {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -138,6 +138,12 @@
 	l.gateway.charge(now, account)
 }
 
+// Refund returns a token that was given at admittedAt to an operation that then did not
+// run. It expires like one that was granted then.
+func (l *Limiter) Refund(now, admittedAt timekeeper.Millis, account cataloger.Account) {
+	l.gateway.refund(now, admittedAt, account)
+}
+
 // Leave tells the other daemons that this one ends, so that they don't wait for it.
 func (l *Limiter) Leave() {
 	l.coord.leaving = true
--- a/multiplexer/admission.go
+++ b/multiplexer/admission.go
@@ -56,6 +56,7 @@
 		j.group.reject(now, j, defaultRetryDelay, "the time limit passed")
 		return
 	}
+	j.admittedAt = now
 	m.place(now, j)
 }
 
@@ -78,6 +79,17 @@
 	}
 }
 
+// refund returns the token of a job that is answered without having run, so that it is
+// there for one that can run: while a primary is missing, clients try again and again.
+func (m *Multiplexer) refund(now timekeeper.Millis, j *job, a Answer) {
+	if a.Code != CodeNotRun || j.admittedAt == 0 || j.mayHaveRun || m.deps.Refund == nil {
+		return
+	}
+	if account, found := m.catalog.Account(j.account); found && account.RateLimit > 0 {
+		m.deps.Refund(now, j.admittedAt, account)
+	}
+}
+
 // tickAdmissions rejects jobs whose time limit passes while they wait for a token.
 func (m *Multiplexer) tickAdmissions(now timekeeper.Millis) {
 	for _, j := range sortedJobs(m.admissions) {
--- a/multiplexer/admission_test.go
+++ b/multiplexer/admission_test.go
@@ -145,3 +145,25 @@
 		t.Errorf("%d tokens were charged for %d runs after the first", a.charged, ran-1)
 	}
 }
+
+// TestRefund guards against tokens that are lost to operations which did not run, and
+// against tokens that are returned for operations which did.
+func TestRefund(t *testing.T) {
+	for name, primary := range map[string]bool{"no primary": false, "served": true} {
+		t.Run(name, func(t *testing.T) {
+			h, a := newAdmissionHarness(t)
+			a.outcome = limiter.Admitted
+			refunded := 0
+			h.m.deps.Refund = func(_, _ timekeeper.Millis, _ cataloger.Account) { refunded++ }
+			if !primary {
+				h.setPrimary("s0", 1, true)
+			}
+			var code Code
+			h.runStatement("shop", "k", Statement{ID: "x", Kind: KindWrite, Args: "item data"}, func(a Answer, _ timekeeper.Millis) { code = a.Code })
+			h.run(300)
+			if served := code == CodeOK; served != primary || (refunded == 1) == primary {
+				t.Errorf("got %v and %d tokens returned", code, refunded)
+			}
+		})
+	}
+}
--- a/multiplexer/job.go
+++ b/multiplexer/job.go
@@ -59,6 +59,8 @@
 	// late says that the job misses its latency objective anyway. It has left the
 	// queue and gives way to the queued jobs.
 	late bool
+	// admittedAt is when the job got a token of its account; 0 if it needed none.
+	admittedAt timekeeper.Millis
 	// mayHaveRun says that an earlier attempt ran or may have run.
 	mayHaveRun bool
 	// carrier is the daemon that the job was forwarded to, path what is known of
--- a/multiplexer/session.go
+++ b/multiplexer/session.go
@@ -360,6 +360,7 @@
 	if s.tx != nil {
 		s.tx.lastActive = now
 	}
+	m.refund(now, j, a)
 	m.logOutcome(now, j, a)
 	m.answer(s, a)
 	if s.closed {
--- a/multiplexer/settings.go
+++ b/multiplexer/settings.go
@@ -82,4 +82,7 @@
 	CancelAdmission func(id, account string)
 	// Charge takes a token for a run of a job that may have run before.
 	Charge func(now timekeeper.Millis, account cataloger.Account)
+	// Refund returns the token that was given to a job at admittedAt and that the job
+	// did not use.
+	Refund func(now, admittedAt timekeeper.Millis, account cataloger.Account)
 }
--- a/proxier/limits.go
+++ b/proxier/limits.go
@@ -14,7 +14,7 @@
 // functions that the multiplexer needs.
 func newLimits(settings Settings, muxDeps *multiplexer.Deps, account func(name string) (cataloger.Account, bool)) *limiter.Limiter {
 	limits := limiter.New(settings.Host.Incarnation, limiter.Deps{Log: muxDeps.Log, Account: account})
-	muxDeps.Admit, muxDeps.CancelAdmission, muxDeps.Charge = limits.Admit, limits.Cancel, limits.Charge
+	muxDeps.Admit, muxDeps.CancelAdmission, muxDeps.Charge, muxDeps.Refund = limits.Admit, limits.Cancel, limits.Charge, limits.Refund
 	return limits
 }
 
