--- a/limiter/bound_test.go
+++ b/limiter/bound_test.go
@@ -140,3 +140,40 @@
 		}
 	})
 }
+
+// TestGivenShareInPartition guards against domains that take back what a domain uses that
+// is cut off and does not hear of it, as the load moves to them at once or later, and
+// against a cut-off domain that loses its share.
+func TestGivenShareInPartition(t *testing.T) {
+	limit := cataloger.Account{Name: "a", RateLimit: 400}
+	for name, pause := range map[string]timekeeper.Millis{"load moves at once": 0, "load moves later": 5000} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, 15, 3, limit)
+			sim.pass(2000)
+			sim.flood()
+			for _, d := range sim.daemons {
+				if d.host.Domain != "d1" {
+					d.interval = 0
+				}
+			}
+			sim.pass(6000)
+			for _, d := range sim.daemons {
+				if d.host.Domain == "d1" {
+					d.side = 1
+				}
+			}
+			before := len(sim.runs)
+			sim.pass(pause)
+			if ran := len(sim.runs) - before; float64(ran) < 0.8*float64(limit.RateLimit)*float64(pause)/1000 {
+				t.Errorf("the domain with all of the load ran %d operations in %d ms after it was cut off, want at least 8 tenths of the limit", ran, pause)
+			}
+			sim.flood()
+			sim.pass(10_000)
+			sim.heal()
+			sim.pass(5000)
+			if e := sim.excess(0, limit); e > 0 {
+				t.Errorf("%.0f operations above the bound", e)
+			}
+		})
+	}
+}
