--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -106,9 +106,9 @@
 type Report struct {
 	// Waits are the expected waits in milliseconds, by rank.
 	Waits [scheduler.NumRanks]float64
-	// Askers is how many failure domains have asked for reports lately; 0 if
+	// Requesters is how many failure domains have asked for reports lately; 0 if
 	// unknown.
-	Askers int
+	Requesters int
 }
 
 // report is a Report and the time for which it holds.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -49,8 +49,8 @@
 	took  []timekeeper.Millis
 	left  int
 	asked timekeeper.Millis
-	// askers are the domains that have asked the daemon, and when.
-	askers map[int]timekeeper.Millis
+	// requesters are the domains that have asked the daemon, and when.
+	requesters map[int]timekeeper.Millis
 }
 
 const (
@@ -74,7 +74,7 @@
 		for range n {
 			d := &testDaemon{
 				domain: domain, b: balancer.New(f.random.Uint64()), rate: load[domain] * 5 / 8 / float64(n),
-				limit: max(1, (10+total-1)/total), running: map[*testServer]int{}, askers: map[int]timekeeper.Millis{}, sent: map[*testServer][]timekeeper.Millis{},
+				limit: max(1, (10+total-1)/total), running: map[*testServer]int{}, requesters: map[int]timekeeper.Millis{}, sent: map[*testServer][]timekeeper.Millis{},
 			}
 			var list []balancer.Server
 			for _, s := range f.servers {
@@ -147,15 +147,15 @@
 		for other.domain != s.domain {
 			other = f.daemons[f.random.Intn(len(f.daemons))]
 		}
-		other.askers[d.domain] = f.Now()
+		other.requesters[d.domain] = f.Now()
 		report := balancer.Report{Waits: [scheduler.NumRanks]float64{testRank: f.wait(other)}}
-		for _, at := range other.askers {
+		for _, at := range other.requesters {
 			if f.Now()-at <= 3000 {
-				report.Askers++
+				report.Requesters++
 			}
 		}
 		if f.lies {
-			report = balancer.Report{Askers: 1}
+			report = balancer.Report{Requesters: 1}
 		}
 		asked := f.Now()
 		f.After(2+f.reportDelay, func() { d.b.SetReport(asked, s.name, report) })
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -276,8 +276,8 @@
 // since a statement may start while any credit is left.
 func (b *Balancer) allowance(now timekeeper.Millis, s *server) float64 {
 	part := remotePart * float64(max(s.Slots, 1)) / float64(max(s.Sharers, 1))
-	if report, found := b.reports[s.Domain]; found && now-report.at <= reportAge && report.Askers > 0 && slices.Max(report.Waits[:]) <= idleWait {
-		asking := report.Askers * max(s.Peers, 1)
+	if report, found := b.reports[s.Domain]; found && now-report.at <= reportAge && report.Requesters > 0 && slices.Max(report.Waits[:]) <= idleWait {
+		asking := report.Requesters * max(s.Peers, 1)
 		part *= min(max(float64(s.Sharers)/float64(asking), 1), maxLoan)
 	}
 	largest := 0.0
--- a/multiplexer/balance_test.go
+++ b/multiplexer/balance_test.go
@@ -97,7 +97,7 @@
 			h.asked = func(c AskLoad) {
 				asked := h.Now()
 				h.After(2, func() {
-					h.m.LoadReported(asked, c, LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks), Askers: 1})
+					h.m.LoadReported(asked, c, LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks), Requesters: 1})
 				})
 			}
 			var reads, calm counts
@@ -188,13 +188,13 @@
 	h.stream("standard", aRead, 2, 1000, &counts{})
 	h.run(900)
 	report := h.m.LoadReport(h.Now(), testGroup, "a")
-	if err := report.Validate(); err != nil || report.Waits[scheduler.RankStandard] < 20 || report.Waits[scheduler.RankUrgent] != 0 || report.Askers != 1 {
-		t.Errorf("report %+v, %v; want a wait of 20 ms or more of standard work alone, and 1 asker", report, err)
+	if err := report.Validate(); err != nil || report.Waits[scheduler.RankStandard] < 20 || report.Waits[scheduler.RankUrgent] != 0 || report.Requesters != 1 {
+		t.Errorf("report %+v, %v; want a wait of 20 ms or more of standard work alone, and 1 requester", report, err)
 	}
 	for name, report := range map[string]LoadReport{
 		"too few ranks": {Waits: []timekeeper.Millis{1}},
 		"negative":      {Waits: []timekeeper.Millis{0, -1, 0}},
-		"too many":      {Askers: maxAskers + 1},
+		"too many":      {Requesters: maxRequesters + 1},
 		"too long":      {Waits: []timekeeper.Millis{0, maxForwardedTime + 1, 0}},
 	} {
 		if report.Validate() == nil {
--- a/multiplexer/group.go
+++ b/multiplexer/group.go
@@ -64,8 +64,8 @@
 	candidateBuffer []router.Candidate
 	// balance is nil unless reads are balanced between failure domains.
 	balance *groupBalance
-	// askers are the failure domains that have asked for load reports, and when.
-	askers map[string]timekeeper.Millis
+	// requesters are the failure domains that have asked for load reports, and when.
+	requesters map[string]timekeeper.Millis
 	// selected is the server that dispatchQueued has chosen for the next job.
 	selected *server
 }
--- a/multiplexer/load.go
+++ b/multiplexer/load.go
@@ -14,11 +14,11 @@
 const askInterval timekeeper.Millis = 500
 
 const (
-	// askerMemory is how long a domain that has asked counts as asking. With many
+	// requesterMemory is how long a domain that has asked counts as asking. With many
 	// daemons, each of them is asked only now and then.
-	askerMemory timekeeper.Millis = 3000
-	// maxAskers bounds the number of domains that are remembered.
-	maxAskers = 64
+	requesterMemory timekeeper.Millis = 3000
+	// maxRequesters bounds the number of domains that are remembered.
+	maxRequesters = 64
 )
 
 // AskLoad asks a daemon of another failure domain how long the reads of a group
@@ -37,8 +37,8 @@
 type LoadReport struct {
 	// Waits are the waits by rank; empty if the daemon reports none.
 	Waits []timekeeper.Millis `json:"waits,omitempty"`
-	// Askers is how many failure domains have asked for a report lately.
-	Askers int `json:"askers,omitempty"`
+	// Requesters is how many failure domains have asked for a report lately.
+	Requesters int `json:"requesters,omitempty"`
 }
 
 // Validate returns an Error of KindInvalid if the report can't be true.
@@ -46,8 +46,8 @@
 	if len(r.Waits) != 0 && len(r.Waits) != scheduler.NumRanks {
 		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "waits: wrong number of ranks"}
 	}
-	if r.Askers < 0 || r.Askers > maxAskers {
-		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "askers: out of range"}
+	if r.Requesters < 0 || r.Requesters > maxRequesters {
+		return &Error{Op: "decode load report", Kind: KindInvalid, Text: "requesters: out of range"}
 	}
 	for _, wait := range r.Waits {
 		if wait < 0 || wait > maxForwardedTime {
@@ -64,14 +64,14 @@
 	if g == nil {
 		return LoadReport{}
 	}
-	if g.askers == nil {
-		g.askers = map[string]timekeeper.Millis{}
+	if g.requesters == nil {
+		g.requesters = map[string]timekeeper.Millis{}
 	}
-	if len(g.askers) < maxAskers {
-		g.askers[domain] = now
+	if len(g.requesters) < maxRequesters {
+		g.requesters[domain] = now
 	}
-	maps.DeleteFunc(g.askers, func(_ string, at timekeeper.Millis) bool { return now-at > askerMemory })
-	report := LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks), Askers: len(g.askers)}
+	maps.DeleteFunc(g.requesters, func(_ string, at timekeeper.Millis) bool { return now-at > requesterMemory })
+	report := LoadReport{Waits: make([]timekeeper.Millis, scheduler.NumRanks), Requesters: len(g.requesters)}
 	for r, wait := range g.waits(now) {
 		report.Waits[r] = min(timekeeper.Millis(wait), maxForwardedTime)
 	}
@@ -85,7 +85,7 @@
 	if g == nil || g.balance == nil || len(report.Waits) != scheduler.NumRanks {
 		return
 	}
-	out := balancer.Report{Askers: report.Askers}
+	out := balancer.Report{Requesters: report.Requesters}
 	for r, wait := range report.Waits {
 		out.Waits[r] = float64(wait)
 	}
@@ -94,7 +94,7 @@
 
 // askNeighbours asks one daemon of each other domain for a report if the balancer
 // wants reports: a carrier if the group has carriers, and each time another
-// daemon otherwise, so that the askers spread over them.
+// daemon otherwise, so that the requesters spread over them.
 func (b *groupBalance) askNeighbours(now timekeeper.Millis) {
 	if !b.ReportsWanted() || now-b.askedAt < askInterval {
 		return
